--- /dev/null
+++ b/src/libs/base/logger.cpp
@@ -0,0 +1,96 @@
+#include "base/logger.h"
+
+#include "base/name_table.h"
+
+#include <fmt/chrono.h>
+#include <fmt/core.h>
+
+#include <cstdio>
+
+namespace crocuslane {
+
+namespace {
+
+constexpr auto levelNames = makeNameTable<log_level>({
+    {log_level::debug, "debug"},
+    {log_level::info, "info"},
+    {log_level::warning, "warning"},
+    {log_level::error, "error"},
+});
+
+constexpr std::chrono::seconds repeatWindow{1};
+constexpr unsigned linesPerWindow = 20;
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
+}
+
+std::string quoted(std::string_view value)
+{
+    std::string result = "\"";
+    for (const char character : value) {
+        switch (character) {
+        case '"':
+        case '\\':
+            result += '\\';
+            result += character;
+            break;
+        case '\n':
+            result += "\\n";
+            break;
+        case '\r':
+            result += "\\r";
+            break;
+        default:
+            result += character;
+        }
+    }
+    return result + '"';
+}
+
+} // namespace
+
+logger::logger(const clock &clock, std::string process, log_level threshold)
+    : m_clock(clock)
+    , m_process(std::move(process))
+    , m_threshold(threshold)
+{
+}
+
+void logger::write(log_level level, std::string_view event, const std::vector<log_field> &fields)
+{
+    if (level < m_threshold) {
+        return;
+    }
+    const steady_time now = m_clock.steadyNow();
+    repeat_state &state = m_repeats[std::string(event)];
+    unsigned suppressedBefore = 0;
+    if (now - state.windowStart >= repeatWindow) {
+        suppressedBefore = state.suppressed;
+        state = {now, 0, 0};
+    }
+    if (state.written >= linesPerWindow) {
+        ++state.suppressed;
+        return;
+    }
+    ++state.written;
+
+    const std::int64_t milliseconds = unixMilliseconds(m_clock.systemNow());
+    const std::time_t seconds = milliseconds / 1000;
+    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} process={} event={}",
+                                   fmt::gmtime(seconds),
+                                   milliseconds % 1000,
+                                   levelNames.name(level),
+                                   m_process,
+                                   event);
+    for (const log_field &field : fields) {
+        line += fmt::format(" {}={}", field.key, needsQuotes(field.value) ? quoted(field.value) : field.value);
+    }
+    if (suppressedBefore > 0) {
+        line += fmt::format(" suppressed={}", suppressedBefore);
+    }
+    fmt::print(stderr, "{}\n", line);
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/libs/base/logger.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crocuslane {
+
+enum class log_level {
+    debug,
+    info,
+    warning,
+    error,
+};
+
+/// One key=value pair of a log line.
+struct log_field {
+    std::string_view key;
+    std::string value;
+};
+
+/// Writes one structured line per event to standard error. Repeats of an event are limited in rate and counted.
+class logger
+{
+public:
+    logger(const clock &clock, std::string process, log_level threshold);
+
+    void write(log_level level, std::string_view event, const std::vector<log_field> &fields);
+
+private:
+    struct repeat_state {
+        steady_time windowStart;
+        unsigned written = 0;
+        unsigned suppressed = 0;
+    };
+
+    const clock &m_clock;
+    std::string m_process;
+    log_level m_threshold;
+    std::map<std::string, repeat_state, std::less<>> m_repeats;
+};
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/libs/kernel/peer_message.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "kernel/types.h"
+
+#include <variant>
+
+namespace crocuslane {
+
+/// Sent on every peer connection twice a second; its absence closes the connection.
+struct heartbeat {
+    std::uint64_t sequence = 0;
+    std::uint64_t configurationVersion = 0;
+    bool isStopping = false;
+};
+
+/// Demand and use of one caller group at one entry VM.
+struct group_demand {
+    caller_group_id group;
+    /// Requests per second that arrived, smoothed.
+    double arrivalRate = 0.0;
+    std::uint64_t tokensInFlight = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t queued = 0;
+};
+
+/// Requests that one entry VM has in progress at a runner.
+struct runner_use {
+    runner_id runner;
+    std::uint32_t inFlight = 0;
+    bool isLeaving = false;
+};
+
+/// State of one entry VM, passed on from VM to VM; the highest counter of an incarnation wins.
+struct member_state {
+    vm_id id;
+    std::uint64_t incarnation = 0;
+    std::uint64_t counter = 0;
+    std::uint64_t configurationVersion = 0;
+    /// When this VM last read the log to its end, as its age at the time of sending; negative: never.
+    std::int64_t logReadAgeMilliseconds = -1;
+    bool isStopping = false;
+    std::vector<group_demand> demand;
+    std::vector<runner_use> runners;
+};
+
+/// What the sender knows; the receiver answers with an exchange_delta of what is newer.
+struct exchange_digest {
+    struct entry {
+        vm_id id;
+        std::uint64_t incarnation = 0;
+        std::uint64_t counter = 0;
+    };
+    std::vector<entry> entries;
+    std::uint64_t configurationVersion = 0;
+};
+
+struct exchange_delta {
+    std::vector<member_state> states;
+};
+
+/// Copy of a bill that its origin has not yet seen in the log.
+struct bill_copy {
+    bill content;
+};
+
+struct bill_copy_acknowledged {
+    request_id request;
+};
+
+/// The origin has seen the bill in the log; the copy can go.
+struct bill_copy_released {
+    request_id request;
+};
+
+struct configuration_fetch {
+    std::uint64_t knownVersion = 0;
+};
+
+struct configuration_text {
+    std::uint64_t version = 0;
+    /// Log offset through which the version is folded.
+    log_offset asOf = 0;
+    std::string text;
+};
+
+using peer_message = std::variant<heartbeat,
+                                  exchange_digest,
+                                  exchange_delta,
+                                  bill_copy,
+                                  bill_copy_acknowledged,
+                                  bill_copy_released,
+                                  configuration_fetch,
+                                  configuration_text>;
+
+} // namespace crocuslane
