Write out the ordering of text_id

Cause: clang-tidy 14 reports modernize-use-nullptr in every source that orders ids, because it takes the zero in the comparison generated from a defaulted operator<=> for a null pointer. Ruled out: disabling the check (it finds real faults elsewhere). Conclusion: same ordering, written out.

--- a/src/libs/base/text_id.h
+++ b/src/libs/base/text_id.h
@@ -28,7 +28,13 @@
         return m_value.empty();
     }
 
-    auto operator<=>(const text_id &other) const = default;
+    bool operator==(const text_id &other) const = default;
+
+    // Not defaulted: clang-tidy 14 takes the zero in the generated comparison for a null pointer.
+    std::strong_ordering operator<=>(const text_id &other) const
+    {
+        return m_value <=> other.m_value;
+    }
 
 private:
     std::string m_value;
