--- /dev/null
+++ b/src/libs/logstream/append_budget.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace crocuslane {
+
+/// Token bucket for the appends of one VM over all streams.
+class append_budget
+{
+public:
+    explicit append_budget(double appendsPerSecond = 50.0);
+
+    bool tryTake(steady_time now);
+    /// When the next tryTake() can succeed.
+    steady_time nextAvailable(steady_time now) const;
+
+private:
+    double available(steady_time now) const;
+
+    double m_rate;
+    double m_capacity;
+    double m_tokens;
+    steady_time m_updated = steady_time::min();
+};
+
+} // namespace crocuslane
