--- /dev/null
+++ b/src/plugins/requests/dispatch_queue.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "services/admission_controller.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace crocuslane {
+
+/// Place of a waiting request; the lowest goes first.
+struct queue_position {
+    admission_standing standing = admission_standing::within_bound;
+    request_class urgency = request_class::standard;
+    /// A request that has already run in part goes before new ones of its class.
+    bool isContinuation = false;
+    double order = 0.0;
+};
+
+enum class dispatch_result {
+    /// The request left the queue.
+    taken,
+    /// No runner is free for it, nor for any other request of its lane.
+    waiting,
+};
+
+/// Requests that wait for a free runner. Requests of one lane can be served by the same runners, so a dispatch round
+/// asks once per lane that has no free runner, however many requests wait in it.
+class dispatch_queue
+{
+public:
+    explicit dispatch_queue(std::size_t capacity);
+
+    /// Returns the request that had to give way when the queue is full, which may be @p request itself.
+    std::optional<request_id> push(const request_id &request, const std::string &lane, const queue_position &position);
+    void remove(const request_id &request);
+    /// Offers waiting requests in order until each lane is empty or waiting. @p tryStart may push and remove.
+    void dispatch(const std::function<dispatch_result(const request_id &)> &tryStart);
+    bool contains(const request_id &request) const;
+    std::size_t size() const;
+
+private:
+    /// Standing, class, new request, order, sequence of arrival.
+    using key = std::tuple<admission_standing, request_class, bool, double, std::uint64_t>;
+    struct place {
+        std::string lane;
+        key position;
+    };
+
+    using lane_map = std::map<std::string, std::map<key, request_id>, std::less<>>;
+    lane_map::iterator bestLane(const std::unordered_set<std::string> &waitingLanes);
+    std::optional<request_id> worstRequest() const;
+
+    std::size_t m_capacity;
+    std::uint64_t m_nextSequence = 0;
+    lane_map m_lanes;
+    std::unordered_map<request_id, place> m_places;
+};
+
+} // namespace crocuslane
