--- a/src/libs/base/tests/base_test.cpp
+++ b/src/libs/base/tests/base_test.cpp
@@ -1,5 +1,6 @@
 #include "base/clock.h"
 #include "base/digest.h"
+#include "base/hybrid_clock.h"
 #include "base/name_table.h"
 #include "base/random_source.h"
 
@@ -53,3 +54,26 @@
     CHECK(equalConstantTime("ab", "ab"));
     CHECK_FALSE(equalConstantTime("ab", "abc"));
 }
+
+// Guards against a time line in which the effect on one VM stands before its cause on another.
+TEST_CASE("hybrid clock, peer ahead, stays after what it received", "[base]")
+{
+    manual_clock clock;
+    hybrid_clock hybrid(clock);
+    const hybrid_time first = hybrid.now();
+    CHECK(hybrid.now() > first);
+    const hybrid_time received{first.milliseconds + 500, 7};
+    hybrid.observe(received);
+    CHECK(hybrid.now() > received);
+    clock.advance(std::chrono::seconds(1));
+    CHECK(hybrid.now() == hybrid_time{unixMilliseconds(clock.systemNow()), 0});
+}
+
+// Guards against one VM with a wrong wall clock that moves the times of all others.
+TEST_CASE("hybrid clock, peer far ahead, is not followed", "[base]")
+{
+    manual_clock clock;
+    hybrid_clock hybrid(clock);
+    hybrid.observe({unixMilliseconds(clock.systemNow()) + hybrid_clock::maximumLead.count() + 1, 0});
+    CHECK(hybrid.now() == hybrid_time{unixMilliseconds(clock.systemNow()), 0});
+}
