--- /dev/null
+++ b/src/libs/wire/envelope_codec.cpp
@@ -0,0 +1,345 @@
+#include "wire/envelope_codec.h"
+
+#include "wire/buffer_checks.h"
+#include "wire/envelope_generated.hpp"
+#include "wire/name_list.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace crocuslane {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+struct encoded_message {
+    wire::message type = wire::message::NONE;
+    Offset<void> content;
+};
+
+template<typename table>
+leaf::result<encoded_message> encoded(wire::message type, Offset<table> content)
+{
+    return encoded_message{type, content.Union()};
+}
+
+leaf::result<peer_message> invalid(std::string detail)
+{
+    return leaf::new_error(wire_error{wire_fault::invalid_value, std::move(detail)});
+}
+
+template<typename target>
+target saturated(std::uint64_t value)
+{
+    return static_cast<target>(std::min<std::uint64_t>(value, std::numeric_limits<target>::max()));
+}
+
+// A rate that is not a number stays so and is refused by the receiver.
+float saturatedRate(double rate)
+{
+    return static_cast<float>(std::min<double>(rate, std::numeric_limits<float>::max()));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const heartbeat &message)
+{
+    return encoded(wire::message::heartbeat,
+                   wire::Createheartbeat(builder, message.sequence, message.configurationVersion, message.isStopping));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const exchange_digest &message)
+{
+    name_list_writer names;
+    std::vector<wire::digest_entry> entries;
+    for (const exchange_digest::entry &entry : message.entries) {
+        BOOST_LEAF_AUTO(name, names.add(entry.id.value()));
+        entries.emplace_back(entry.incarnation, entry.counter, name);
+    }
+    const auto nameList = names.write(builder);
+    const auto entryVector = builder.CreateVectorOfStructs(entries);
+    return encoded(wire::message::exchange_digest,
+                   wire::Createexchange_digest(builder, nameList, entryVector, message.configurationVersion));
+}
+
+leaf::result<Offset<wire::member_state>>
+encodeState(FlatBufferBuilder &builder, name_list_writer &names, const member_state &state)
+{
+    BOOST_LEAF_AUTO(id, names.add(state.id.value()));
+    std::vector<wire::group_demand> demand;
+    for (const group_demand &group : state.demand) {
+        BOOST_LEAF_AUTO(name, names.add(group.group.value()));
+        demand.emplace_back(name,
+                            saturatedRate(group.arrivalRate),
+                            saturated<std::uint32_t>(group.tokensInFlight),
+                            saturated<std::uint32_t>(group.admitted),
+                            saturated<std::uint32_t>(group.refused),
+                            saturated<std::uint32_t>(group.queued));
+    }
+    std::vector<wire::runner_use> runners;
+    for (const runner_use &runner : state.runners) {
+        BOOST_LEAF_AUTO(name, names.add(runner.runner.value()));
+        runners.emplace_back(name, saturated<std::uint16_t>(runner.inFlight), runner.isLeaving);
+    }
+    const auto demandVector = builder.CreateVectorOfStructs(demand);
+    const auto runnerVector = builder.CreateVectorOfStructs(runners);
+    return wire::Createmember_state(builder,
+                                    id,
+                                    state.incarnation,
+                                    state.counter,
+                                    state.configurationVersion,
+                                    state.logReadAgeMilliseconds,
+                                    state.isStopping,
+                                    demandVector,
+                                    runnerVector);
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const exchange_delta &message)
+{
+    name_list_writer names;
+    std::vector<Offset<wire::member_state>> states;
+    for (const member_state &state : message.states) {
+        BOOST_LEAF_AUTO(offset, encodeState(builder, names, state));
+        states.push_back(offset);
+    }
+    const auto nameList = names.write(builder);
+    const auto stateVector = builder.CreateVector(states);
+    return encoded(wire::message::exchange_delta, wire::Createexchange_delta(builder, nameList, stateVector));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy &message)
+{
+    const bill &bill = message.content;
+    const auto request = builder.CreateString(bill.request.value());
+    const auto organisation = builder.CreateString(bill.organisation.value());
+    const auto group = builder.CreateString(bill.group.value());
+    const auto service = builder.CreateString(bill.service.value());
+    const auto kind = builder.CreateString(bill.kind.value());
+    const auto version = builder.CreateString(bill.version.value());
+    return encoded(wire::message::bill_copy,
+                   wire::Createbill_copy(builder,
+                                         request,
+                                         organisation,
+                                         group,
+                                         service,
+                                         kind,
+                                         version,
+                                         bill.usage.promptTokens,
+                                         bill.usage.cachedPromptTokens,
+                                         bill.usage.outputTokens,
+                                         bill.cost,
+                                         bill.unixMilliseconds));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy_acknowledged &message)
+{
+    const auto request = builder.CreateString(message.request.value());
+    return encoded(wire::message::bill_copy_acknowledged, wire::Createbill_copy_acknowledged(builder, request));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy_released &message)
+{
+    const auto request = builder.CreateString(message.request.value());
+    return encoded(wire::message::bill_copy_released, wire::Createbill_copy_released(builder, request));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const configuration_fetch &message)
+{
+    return encoded(wire::message::configuration_fetch, wire::Createconfiguration_fetch(builder, message.knownVersion));
+}
+
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const configuration_text &message)
+{
+    const auto text = builder.CreateString(message.text);
+    return encoded(wire::message::configuration_text,
+                   wire::Createconfiguration_text(builder, message.version, message.asOf, text));
+}
+
+// An absent vector counts as empty.
+template<typename element>
+std::size_t sizeOf(const flatbuffers::Vector<element> *vector)
+{
+    return vector == nullptr ? 0 : vector->size();
+}
+
+leaf::result<peer_message> decode(const wire::heartbeat &message)
+{
+    return heartbeat{message.sequence(), message.configuration_version(), message.is_stopping()};
+}
+
+leaf::result<peer_message> decode(const wire::exchange_digest &message)
+{
+    BOOST_LEAF_AUTO(names, name_list_reader::make(*message.names()));
+    exchange_digest digest;
+    digest.configurationVersion = message.configuration_version();
+    for (std::size_t index = 0; index < sizeOf(message.entries()); ++index) {
+        const wire::digest_entry &entry = *message.entries()->Get(index);
+        BOOST_LEAF_AUTO(id, names.at(entry.name()));
+        digest.entries.push_back({vm_id(id), entry.incarnation(), entry.counter()});
+    }
+    return digest;
+}
+
+leaf::result<member_state> decodeState(const name_list_reader &names, const wire::member_state &message)
+{
+    member_state state;
+    BOOST_LEAF_AUTO(id, names.at(message.name()));
+    state.id = vm_id(id);
+    state.incarnation = message.incarnation();
+    state.counter = message.counter();
+    state.configurationVersion = message.configuration_version();
+    state.logReadAgeMilliseconds = message.log_read_age_ms();
+    state.isStopping = message.is_stopping();
+    for (std::size_t index = 0; index < sizeOf(message.demand()); ++index) {
+        const wire::group_demand &group = *message.demand()->Get(index);
+        // Not a number would spread into every sum that it is added to.
+        if (!std::isfinite(group.arrival_rate()) || group.arrival_rate() < 0) {
+            return leaf::new_error(wire_error{wire_fault::invalid_value, "arrival rate is not a number from 0"});
+        }
+        BOOST_LEAF_AUTO(name, names.at(group.name()));
+        state.demand.push_back({caller_group_id(name),
+                                group.arrival_rate(),
+                                group.tokens_in_flight(),
+                                group.admitted(),
+                                group.refused(),
+                                group.queued()});
+    }
+    for (std::size_t index = 0; index < sizeOf(message.runners()); ++index) {
+        const wire::runner_use &runner = *message.runners()->Get(index);
+        BOOST_LEAF_AUTO(name, names.at(runner.name()));
+        state.runners.push_back({runner_id(name), runner.in_flight(), runner.is_leaving()});
+    }
+    return state;
+}
+
+leaf::result<peer_message> decode(const wire::exchange_delta &message)
+{
+    BOOST_LEAF_AUTO(names, name_list_reader::make(*message.names()));
+    exchange_delta delta;
+    for (std::size_t index = 0; index < sizeOf(message.states()); ++index) {
+        BOOST_LEAF_AUTO(state, decodeState(names, *message.states()->Get(index)));
+        delta.states.push_back(std::move(state));
+    }
+    return delta;
+}
+
+leaf::result<peer_message> decode(const wire::bill_copy &message)
+{
+    for (const auto *field : {message.request(),
+                              message.organisation(),
+                              message.group(),
+                              message.service(),
+                              message.kind(),
+                              message.version()}) {
+        if (!isValidText(field->string_view())) {
+            return invalid("bill with an id that is not UTF-8");
+        }
+    }
+    bill bill;
+    bill.request = request_id(message.request()->str());
+    bill.organisation = organisation_id(message.organisation()->str());
+    bill.group = caller_group_id(message.group()->str());
+    bill.service = service_id(message.service()->str());
+    bill.kind = kind_id(message.kind()->str());
+    bill.version = version_id(message.version()->str());
+    bill.usage = {message.prompt_tokens(), message.cached_prompt_tokens(), message.output_tokens()};
+    bill.cost = message.cost();
+    bill.unixMilliseconds = message.unix_ms();
+    return bill_copy{std::move(bill)};
+}
+
+leaf::result<peer_message> decode(const wire::bill_copy_acknowledged &message)
+{
+    if (!isValidText(message.request()->string_view())) {
+        return invalid("request id is not UTF-8");
+    }
+    return bill_copy_acknowledged{request_id(message.request()->str())};
+}
+
+leaf::result<peer_message> decode(const wire::bill_copy_released &message)
+{
+    if (!isValidText(message.request()->string_view())) {
+        return invalid("request id is not UTF-8");
+    }
+    return bill_copy_released{request_id(message.request()->str())};
+}
+
+leaf::result<peer_message> decode(const wire::configuration_fetch &message)
+{
+    return configuration_fetch{message.known_version()};
+}
+
+leaf::result<peer_message> decode(const wire::configuration_text &message)
+{
+    if (!isValidText(message.text()->string_view())) {
+        return invalid("configuration text is not UTF-8");
+    }
+    return configuration_text{message.version(), message.as_of(), message.text()->str()};
+}
+
+leaf::result<peer_message> decodeMessage(const wire::envelope &envelope)
+{
+    switch (envelope.message_type()) {
+    case wire::message::heartbeat:
+        return decode(*envelope.message_as_heartbeat());
+    case wire::message::exchange_digest:
+        return decode(*envelope.message_as_exchange_digest());
+    case wire::message::exchange_delta:
+        return decode(*envelope.message_as_exchange_delta());
+    case wire::message::bill_copy:
+        return decode(*envelope.message_as_bill_copy());
+    case wire::message::bill_copy_acknowledged:
+        return decode(*envelope.message_as_bill_copy_acknowledged());
+    case wire::message::bill_copy_released:
+        return decode(*envelope.message_as_bill_copy_released());
+    case wire::message::configuration_fetch:
+        return decode(*envelope.message_as_configuration_fetch());
+    case wire::message::configuration_text:
+        return decode(*envelope.message_as_configuration_text());
+    case wire::message::NONE:
+        break;
+    }
+    // The verifier accepts members of the union that it doesn't know.
+    return leaf::new_error(
+        wire_error{wire_fault::unknown_message, "type=" + std::to_string(static_cast<int>(envelope.message_type()))});
+}
+
+} // namespace
+
+leaf::result<std::string> encodeEnvelope(const envelope &envelope)
+{
+    FlatBufferBuilder builder;
+    BOOST_LEAF_AUTO(message,
+                    std::visit([&builder](const auto &content) { return encode(builder, content); }, envelope.message));
+    const auto sender = builder.CreateString(envelope.sender.value());
+    wire::FinishenvelopeBuffer(builder,
+                               wire::Createenvelope(builder,
+                                                    wireProtocolVersion,
+                                                    sender,
+                                                    envelope.incarnation,
+                                                    envelope.time.milliseconds,
+                                                    envelope.time.logical,
+                                                    message.type,
+                                                    message.content));
+    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+leaf::result<envelope> decodeEnvelope(std::string_view payload)
+{
+    BOOST_LEAF_AUTO(buffer, verified_buffer<wire::envelope>::make(payload, wire::envelopeIdentifier()));
+    if (buffer->protocol_version() != wireProtocolVersion) {
+        return leaf::new_error(
+            wire_error{wire_fault::wrong_protocol_version, "version=" + std::to_string(buffer->protocol_version())});
+    }
+    if (!isValidText(buffer->sender()->string_view())) {
+        return leaf::new_error(wire_error{wire_fault::invalid_value, "sender id is not UTF-8"});
+    }
+    BOOST_LEAF_AUTO(message, decodeMessage(*buffer));
+    return envelope{vm_id(buffer->sender()->str()),
+                    buffer->incarnation(),
+                    {buffer->time_ms(), buffer->time_logical()},
+                    std::move(message)};
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -0,0 +1,140 @@
+#include "wire/envelope_codec.h"
+#include "wire/envelope_generated.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <limits>
+
+using namespace crocuslane;
+
+namespace {
+
+class envelope_fixture
+{
+protected:
+    static peer_message roundTrip(const peer_message &message)
+    {
+        const std::string bytes = encodeEnvelope({vm_id("vm-1"), 7, {1234, 5}, message}).value();
+        const envelope decoded = decodeEnvelope(bytes).value();
+        CHECK(decoded.sender == vm_id("vm-1"));
+        CHECK(decoded.incarnation == 7);
+        CHECK(decoded.time == hybrid_time{1234, 5});
+        return decoded.message;
+    }
+
+    static std::optional<wire_fault> faultOf(std::string_view bytes)
+    {
+        return leaf::try_handle_all(
+            [bytes]() -> leaf::result<std::optional<wire_fault>> {
+                if (auto checked = decodeEnvelope(bytes); !checked) {
+                    return checked.error();
+                }
+                return std::nullopt;
+            },
+            [](const wire_error &error) { return std::optional(error.fault); },
+            [] { return std::optional<wire_fault>(); });
+    }
+
+    static member_state state()
+    {
+        member_state state{vm_id("vm-2"), 3, 9, 4, 250, true, {}, {}};
+        state.demand.push_back({caller_group_id("north/desk"), 2.5, 1000, 20, 3, 1});
+        state.runners.push_back({runner_id("runner-1"), 4, true});
+        return state;
+    }
+};
+
+} // namespace
+
+// Guards against a field that the codec drops or swaps.
+TEST_CASE_METHOD(envelope_fixture, "envelope, every kind of message, survives a round trip", "[wire]")
+{
+    const auto beat = std::get<heartbeat>(roundTrip(heartbeat{5, 6, true}));
+    CHECK((beat.sequence == 5 && beat.configurationVersion == 6 && beat.isStopping));
+
+    const auto digest = std::get<exchange_digest>(roundTrip(exchange_digest{{{vm_id("vm-2"), 3, 9}}, 8}));
+    REQUIRE(digest.entries.size() == 1);
+    CHECK(digest.entries[0].id == vm_id("vm-2"));
+    CHECK((digest.entries[0].incarnation == 3 && digest.entries[0].counter == 9 && digest.configurationVersion == 8));
+
+    const auto delta = std::get<exchange_delta>(roundTrip(exchange_delta{{state(), member_state{}}}));
+    REQUIRE(delta.states.size() == 2);
+    const member_state &first = delta.states[0];
+    CHECK((first.id == vm_id("vm-2") && first.incarnation == 3 && first.counter == 9));
+    CHECK((first.configurationVersion == 4 && first.logReadAgeMilliseconds == 250 && first.isStopping));
+    REQUIRE(first.demand.size() == 1);
+    CHECK(first.demand[0].group == caller_group_id("north/desk"));
+    CHECK((first.demand[0].arrivalRate == 2.5 && first.demand[0].tokensInFlight == 1000));
+    CHECK((first.demand[0].admitted == 20 && first.demand[0].refused == 3 && first.demand[0].queued == 1));
+    REQUIRE(first.runners.size() == 1);
+    CHECK(first.runners[0].runner == runner_id("runner-1"));
+    CHECK((first.runners[0].inFlight == 4 && first.runners[0].isLeaving));
+    CHECK(delta.states[1].logReadAgeMilliseconds == -1);
+
+    const bill original{request_id("r"),
+                        organisation_id("north"),
+                        caller_group_id("north/desk"),
+                        service_id("s"),
+                        kind_id("k"),
+                        version_id("m@1"),
+                        {1, 2, 3},
+                        44,
+                        1'750'000'000'000};
+    const bill copy = std::get<bill_copy>(roundTrip(bill_copy{original})).content;
+    CHECK((copy.request == original.request && copy.organisation == original.organisation));
+    CHECK((copy.group == original.group && copy.service == original.service));
+    CHECK((copy.kind == original.kind && copy.version == original.version && copy.cost == 44));
+    CHECK((copy.usage.promptTokens == 1 && copy.usage.cachedPromptTokens == 2 && copy.usage.outputTokens == 3));
+    CHECK(copy.unixMilliseconds == original.unixMilliseconds);
+
+    CHECK(std::get<bill_copy_acknowledged>(roundTrip(bill_copy_acknowledged{request_id("r")})).request.value() == "r");
+    CHECK(std::get<bill_copy_released>(roundTrip(bill_copy_released{request_id("r")})).request.value() == "r");
+    CHECK(std::get<configuration_fetch>(roundTrip(configuration_fetch{12})).knownVersion == 12);
+    const auto text = std::get<configuration_text>(roundTrip(configuration_text{12, 99, "[service a]\n"}));
+    CHECK((text.version == 12 && text.asOf == 99 && text.text == "[service a]\n"));
+}
+
+// Guards against reads outside a damaged buffer; the sanitizer build turns one into a failure.
+TEST_CASE_METHOD(envelope_fixture, "envelope, bytes cut or changed, fails or decodes without a fault", "[wire]")
+{
+    const std::string bytes = encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, exchange_delta{{state()}}}).value();
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK(faultOf(std::string_view(bytes).substr(0, length)));
+    }
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        for (const int change : {0x01, 0x80, 0xff}) {
+            std::string damaged = bytes;
+            damaged[index] = static_cast<char>(damaged[index] ^ change);
+            faultOf(damaged);
+        }
+    }
+    SUCCEED("no read outside the buffer");
+}
+
+// Guards against a demand that is not a number and would spread through every VM's sums.
+TEST_CASE_METHOD(envelope_fixture, "envelope, demand not a number, is refused", "[wire]")
+{
+    member_state bad = state();
+    bad.demand[0].arrivalRate = std::numeric_limits<double>::quiet_NaN();
+    CHECK(faultOf(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, exchange_delta{{bad}}}).value())
+          == wire_fault::invalid_value);
+    // A finite rate beyond the range of the format would arrive as infinity.
+    bad.demand[0].arrivalRate = std::numeric_limits<double>::max();
+    CHECK_FALSE(faultOf(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, exchange_delta{{bad}}}).value()));
+}
+
+// Guards against misreading the messages of another version, and against ids that JSON can't carry.
+TEST_CASE_METHOD(envelope_fixture, "envelope, other version or text not UTF-8, names the fault", "[wire]")
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto sender = builder.CreateString("vm-1");
+    const auto content = wire::Createheartbeat(builder, 1, 1, false).Union();
+    wire::FinishenvelopeBuffer(
+        builder,
+        wire::Createenvelope(builder, wireProtocolVersion + 1, sender, 1, 1, 1, wire::message::heartbeat, content));
+    CHECK(faultOf({reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()})
+          == wire_fault::wrong_protocol_version);
+    CHECK(faultOf(encodeEnvelope({vm_id("vm\xff"), 7, {}, heartbeat{}}).value()) == wire_fault::invalid_value);
+    CHECK(faultOf(encodeEnvelope({vm_id("vm"), 7, {}, bill_copy_released{request_id("\xc3")}}).value())
+          == wire_fault::invalid_value);
+}
