--- a/src/libs/edge/platform_client.cpp
+++ b/src/libs/edge/platform_client.cpp
@@ -22,6 +22,7 @@
     vm.role = vmRoleFromName(entry.at("role").get<std::string>()).value_or(vm_role::plain);
     vm.service = service_id(entry.value("service", ""));
     vm.address = entry.at("address");
+    vm.peerAddress = entry.value("peer_address", "");
     vm.availabilityZone = entry.value("availability_zone", "");
     vm.region = entry.value("region", "");
     vm.state = backendStateFromName(entry.value("state", "live")).value_or(backend_state::live);
--- a/src/libs/kernel/types.h
+++ b/src/libs/kernel/types.h
@@ -132,8 +132,10 @@
     std::string id;
     vm_role role = vm_role::entry;
     service_id service;
-    /// "address:port"
+    /// "ip:port" for callers, or for this router's requests to a backend server.
     std::string address;
+    /// "ip:port" for other entry VMs; empty for backend servers.
+    std::string peerAddress;
     std::string availabilityZone;
     std::string region;
     backend_state state = backend_state::live;
