Add reader and checker of the operators' text, with examples

Cause: nothing turned the INI text into the typed model yet. PropertyTree reads the values; a pass before it indexes the lines, because PropertyTree stops at the first fault, keeps no lines and drops sections without keys. Parsing by PropertyTree alone was ruled out for these reasons, libinih for its cut of lines at 200 characters. All faults come in one pass with line, section, key, found and allowed.

--- /dev/null
+++ b/src/libs/configuration/schema.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "configuration/key_table.h"
+
+#include <span>
+
+namespace crocuslane {
+
+/// A key of the operators' text together with the member that holds it.
+template<typename settings>
+struct key_binding {
+    key_rule rule;
+    /// Called with a value that parseValue() gave for the rule.
+    void (*store)(settings &, const key_value &);
+    /// As it would be written in the text.
+    std::string (*show)(const settings &);
+};
+
+std::span<const key_binding<service_settings>> serviceKeys();
+std::span<const key_binding<operation_settings>> operationKeys();
+std::span<const key_binding<kind_settings>> kindKeys();
+std::span<const key_binding<model_settings>> modelKeys();
+std::span<const key_binding<version_settings>> versionKeys();
+std::span<const key_binding<organisation_settings>> organisationKeys();
+std::span<const key_binding<caller_group_settings>> callerGroupKeys();
+
+std::string_view toName(service_type value);
+std::string_view toName(request_class value);
+std::string_view toName(version_state value);
+std::optional<version_state> versionStateFromName(std::string_view name);
+
+/// Reference of all sections and keys of the operators' text, in Markdown.
+std::string describeConfigurationKeys();
+
+} // namespace crocuslane
