Add plug-in membership

VM list, connections between entry VMs, heartbeats, epidemic exchange within 5 KB/s, entry advice, leaving marks and planned stop. Up to 13 entry VMs all are connected; more are connected as neighbours on six random rings (at most 12 connections each), and sightings carry the ages that the majority rule needs. A hash of the pair decides which of two VMs opens their connection.

--- /dev/null
+++ b/src/plugins/membership/member_table.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/clock.h"
+#include "kernel/peer_message.h"
+#include "kernel/types.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace crocuslane {
+
+/// A member that was not heard for this long is gone.
+constexpr std::chrono::seconds memberTimeout{5};
+
+/// What is known of one other entry VM.
+struct member_record {
+    /// Nothing while the VM list, which lags, doesn't have it.
+    std::optional<vm_entry> listed;
+    /// The VM was alive and had @c configurationVersion at this time or later; nothing when it was never heard.
+    std::optional<steady_time> aliveAt;
+    std::uint64_t configurationVersion = 0;
+    bool isStopping = false;
+    bool isGone = true;
+    /// Last state of it; its id is empty when there was none.
+    member_state state;
+    steady_time stateMadeAt;
+};
+
+/// All other entry VMs, of the VM list or heard of.
+class member_table
+{
+public:
+    explicit member_table(const vm_id &self);
+
+    void setList(const std::vector<vm_entry> &entries);
+    /// Word that @p id was alive at @p aliveAt.
+    void noteAlive(const vm_id &id, steady_time aliveAt, std::uint64_t configurationVersion, bool isStopping);
+    /// Takes a state when it is newer than the last one. @p isDirect: received from the VM itself, which alone decides
+    /// which of its incarnations is the current one.
+    bool takeState(const member_state &state, steady_time madeAt, bool isDirect);
+    /// Ids whose gone mark changed since the last call.
+    std::vector<vm_id> updateGone(steady_time now);
+    /// Forgets members that are neither listed nor heard.
+    void removeStrangers();
+
+    const std::map<vm_id, member_record> &records() const;
+    const member_record *find(const vm_id &id) const;
+    /// Ids of the VM list, without this VM.
+    std::set<vm_id> listedIds() const;
+
+private:
+    vm_id m_self;
+    std::map<vm_id, member_record> m_records;
+};
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/membership/message_size.cpp
@@ -0,0 +1,24 @@
+#include "plugins/membership/message_size.h"
+
+namespace crocuslane {
+
+namespace {
+
+constexpr std::size_t emptyStateBytes = 72;
+constexpr std::size_t demandBytes = 12;
+constexpr std::size_t useBytes = 4;
+constexpr std::size_t nameLengthBytes = 2;
+
+} // namespace
+
+std::size_t nameBytes(const std::string &name)
+{
+    return name.size() + nameLengthBytes;
+}
+
+std::size_t stateBytes(const member_state &state)
+{
+    return emptyStateBytes + demandBytes * state.demand.size() + useBytes * state.runners.size();
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/membership/tests/membership_test.cpp
@@ -0,0 +1,412 @@
+#include "kernel/kernel.h"
+#include "plugins/membership/member_table.h"
+#include "services/admission_controller.h"
+#include "services/member_view.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <set>
+
+using namespace crocuslane;
+using namespace std::chrono_literals;
+
+namespace {
+
+class null_timeline : public timeline_recorder
+{
+public:
+    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
+    {
+    }
+};
+
+/// Stands in for admission: a fixed demand, and what was heard from others.
+class fake_admission : public plugin, public admission_controller
+{
+public:
+    std::string_view name() const override
+    {
+        return "admission";
+    }
+
+    void initialize(plugin_context &context) override
+    {
+        context.services.offer<admission_controller>(*this);
+    }
+
+    void handle(const event & /*event*/, action_list & /*actions*/) override
+    {
+    }
+
+    std::variant<admission_grant, request_error>
+    admit(const request_id &, const caller &, const service_id &, std::uint64_t) override
+    {
+        return admission_grant{};
+    }
+
+    void release(const request_id & /*request*/) override
+    {
+    }
+
+    void noteQueued(const request_id & /*request*/) override
+    {
+    }
+
+    std::vector<group_demand> localDemand() const override
+    {
+        return {{caller_group_id("north/desk"), rate, 0, 0, 0, 0}};
+    }
+
+    void setRemoteDemand(const vm_id &vm, const std::vector<group_demand> &demand) override
+    {
+        remote[vm] = demand.empty() ? 0.0 : demand[0].arrivalRate;
+    }
+
+    void removeRemote(const vm_id &vm) override
+    {
+        remote.erase(vm);
+    }
+
+    double rate = 1.0;
+    std::map<vm_id, double> remote;
+};
+
+/// Entry VMs with their kernels, and a network between them that tests can cut, silence and slow down.
+class membership_fixture
+{
+protected:
+    struct vm {
+        seeded_random random{0};
+        null_timeline timeline;
+        std::unique_ptr<kernel> core;
+        fake_admission *admission = nullptr;
+        const member_view *view = nullptr;
+    };
+
+    struct packet {
+        steady_time at;
+        vm_id from;
+        vm_id to;
+        peer_message message;
+    };
+
+    using pair = std::pair<vm_id, vm_id>;
+
+    static vm_id id(int index)
+    {
+        return vm_id("entry-" + std::to_string(index));
+    }
+
+    static pair pairOf(const vm_id &first, const vm_id &second)
+    {
+        return first < second ? pair(first, second) : pair(second, first);
+    }
+
+    void startVms(int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            vm_entry entry;
+            entry.id = id(index).value();
+            entry.address = "10.0.0." + std::to_string(index) + ":80";
+            entry.peerAddress = "10.0.0." + std::to_string(index) + ":90";
+            entry.availabilityZone = index % 2 == 0 ? "a" : "b";
+            entry.region = "r";
+            m_list.push_back(entry);
+        }
+        for (const vm_entry &entry : m_list) {
+            startVm(entry);
+        }
+        for (const vm_entry &entry : m_list) {
+            deliver(vm_id(entry.id), vm_list_read{m_list});
+        }
+    }
+
+    void startVm(const vm_entry &entry)
+    {
+        vm &started = m_vms[vm_id(entry.id)];
+        started.random = seeded_random(std::hash<std::string>{}(entry.id));
+        const node_identity node{
+            vm_id(entry.id), ++m_incarnation, entry.availabilityZone, entry.region, entry.address, entry.peerAddress};
+        started.core =
+            std::make_unique<kernel>(kernel::environment{m_clock, started.random, node, {}, started.timeline});
+        started.core->add(makePlugin("membership"));
+        auto admission = std::make_unique<fake_admission>();
+        started.admission = admission.get();
+        started.core->add(std::move(admission));
+        started.core->start();
+        started.view = &started.core->services().find<member_view>();
+    }
+
+    void deliver(const vm_id &to, const event &event)
+    {
+        const auto found = m_vms.find(to);
+        if (found != m_vms.end()) {
+            carryOut(to, found->second.core->handle(event));
+        }
+    }
+
+    void carryOut(const vm_id &from, const action_list &actions)
+    {
+        for (const action &each : actions) {
+            if (const auto *connect = std::get_if<connect_peer>(&each)) {
+                m_connects.push_back({m_clock.steadyNow() + 1ms, from, connect->peer, {}});
+            } else if (const auto *disconnect = std::get_if<disconnect_peer>(&each)) {
+                // Nothing reaches the other side of a silent connection, not even its end.
+                m_open.erase(pairOf(from, disconnect->peer));
+                ++m_closed;
+            } else if (const auto *send = std::get_if<send_to_peer>(&each)) {
+                m_packets.push_back({m_clock.steadyNow() + m_delay, from, send->peer, send->message});
+            }
+        }
+    }
+
+    void run(duration time)
+    {
+        const steady_time end = m_clock.steadyNow() + time;
+        while (m_clock.steadyNow() < end) {
+            m_clock.advance(10ms);
+            connectDue();
+            passDue();
+            for (auto &[each, vm] : m_vms) {
+                if (!m_paused.contains(each) && m_clock.steadyNow() >= vm.core->nextDeadline()) {
+                    deliver(each, timer_expired{});
+                }
+            }
+        }
+    }
+
+    void connectDue()
+    {
+        std::vector<packet> due;
+        due.swap(m_connects);
+        for (const packet &connect : due) {
+            // A paused process does not answer the hello message.
+            if (!m_vms.contains(connect.to) || m_paused.contains(connect.to)
+                || m_cut.contains(pairOf(connect.from, connect.to))) {
+                deliver(connect.from, peer_disconnected{connect.to});
+                continue;
+            }
+            m_open.insert(pairOf(connect.from, connect.to));
+            m_silent.erase(pairOf(connect.from, connect.to));
+            deliver(connect.from, peer_connected{connect.to});
+            deliver(connect.to, peer_connected{connect.from});
+        }
+    }
+
+    void passDue()
+    {
+        std::deque<packet> waiting;
+        waiting.swap(m_packets);
+        for (packet &each : waiting) {
+            const pair between = pairOf(each.from, each.to);
+            if (each.at > m_clock.steadyNow() || m_paused.contains(each.to)) {
+                m_packets.push_back(std::move(each));
+            } else if (m_open.contains(between) && !m_silent.contains(between) && !m_cut.contains(between)) {
+                deliver(each.to, peer_message_received{each.from, std::move(each.message)});
+            }
+        }
+    }
+
+    void cutOff(const vm_id &from)
+    {
+        for (const auto &[each, vm] : m_vms) {
+            if (each != from) {
+                m_cut.insert(pairOf(from, each));
+            }
+        }
+    }
+
+    static std::set<std::string> advised(const member_view &view)
+    {
+        std::set<std::string> ids;
+        for (const entry_advice::entry &entry : view.advice().entries) {
+            ids.insert(entry.id.value());
+        }
+        return ids;
+    }
+
+    manual_clock m_clock;
+    std::vector<vm_entry> m_list;
+    std::map<vm_id, vm> m_vms;
+    std::vector<packet> m_connects;
+    std::deque<packet> m_packets;
+    std::set<pair> m_open;
+    std::set<pair> m_silent;
+    std::set<pair> m_cut;
+    std::set<vm_id> m_paused;
+    duration m_delay = 1ms;
+    std::uint64_t m_incarnation = 0;
+    int m_closed = 0;
+};
+
+} // namespace
+
+// Guards against VMs that never meet, and against demand that does not arrive.
+TEST_CASE_METHOD(membership_fixture, "membership, six VMs started, hear each other and exchange demand", "[membership]")
+{
+    startVms(6);
+    m_vms[id(2)].admission->rate = 7.0;
+    run(5s);
+    for (const auto &[each, vm] : m_vms) {
+        CHECK(vm.view->connectedPeers().size() == 5);
+        CHECK(vm.view->hearsMajority(2s));
+        CHECK(vm.view->advice().entries.size() == 6);
+        CHECK(vm.view->advice().entries[0].availabilityZone == vm.view->members()[0].availabilityZone);
+        CHECK(vm.admission->remote.size() == 5);
+        CHECK((each == id(2) || vm.admission->remote.at(id(2)) == 7.0));
+    }
+    CHECK(m_closed == 0);
+}
+
+// Guards against a connection whose state was lost on the path and that TCP would keep for minutes.
+TEST_CASE_METHOD(membership_fixture, "membership, connection silent, is closed and opened anew", "[membership]")
+{
+    startVms(3);
+    run(3s);
+    m_silent = m_open;
+    run(2s);
+    CHECK(m_closed > 0);
+    run(2s);
+    for (const auto &[each, vm] : m_vms) {
+        CHECK(vm.view->hearsMajority(2s));
+        CHECK(vm.view->connectedPeers().size() == 2);
+    }
+}
+
+// Guards against callers that are sent to a dead VM, and against its demand that keeps its share for good.
+TEST_CASE_METHOD(membership_fixture,
+                 "membership, one VM cut off, is gone for others and hears no majority",
+                 "[membership]")
+{
+    startVms(6);
+    run(3s);
+    cutOff(id(5));
+    run(6s);
+    CHECK_FALSE(m_vms[id(5)].view->hearsMajority(6s));
+    CHECK(advised(*m_vms[id(5)].view) == std::set<std::string>{"entry-5"});
+    CHECK(m_vms[id(5)].admission->remote.empty());
+    for (int index = 0; index < 5; ++index) {
+        CHECK_FALSE(advised(*m_vms[id(index)].view).contains("entry-5"));
+        CHECK(m_vms[id(index)].admission->remote.size() == 4);
+        CHECK(m_vms[id(index)].view->hearsMajority(6s));
+    }
+    m_cut.clear();
+    run(3s);
+    CHECK(advised(*m_vms[id(0)].view).contains("entry-5"));
+    CHECK(m_vms[id(5)].view->hearsMajority(2s));
+}
+
+// Guards against two VMs without a connection to each other that take each other for gone while others hear both.
+TEST_CASE_METHOD(membership_fixture, "membership, one pair not connected, is heard through others", "[membership]")
+{
+    startVms(6);
+    m_cut.insert(pairOf(id(0), id(1)));
+    run(4s);
+    for (int step = 0; step < 20; ++step) {
+        run(500ms);
+        CHECK(advised(*m_vms[id(0)].view).contains("entry-1"));
+        CHECK(m_vms[id(1)].admission->remote.contains(id(0)));
+    }
+}
+
+// Guards against counting a message that the network held back as a sign of life from now: a VM could then serve a
+// withdrawn version for longer than the freshness limit.
+TEST_CASE_METHOD(membership_fixture, "membership, messages delayed, count from when they were sent", "[membership]")
+{
+    startVms(3);
+    run(3s);
+    m_delay = 1500ms;
+    run(10s);
+    for (const member_info &member : m_vms[id(0)].view->members()) {
+        if (!member.isSelf && member.lastHeardAge) {
+            CHECK(*member.lastHeardAge >= 1500ms);
+        }
+    }
+}
+
+// Guards against a paused VM that takes what it knew before the pause for fresh when it resumes.
+TEST_CASE_METHOD(membership_fixture, "membership, process paused, is stale when it resumes", "[membership]")
+{
+    startVms(3);
+    run(3s);
+    m_paused.insert(id(0));
+    run(20s);
+    CHECK_FALSE(m_vms[id(0)].view->hearsMajority(6s));
+    m_paused.clear();
+    // Heartbeats from during the pause answer none that this VM sent in it.
+    passDue();
+    CHECK_FALSE(m_vms[id(0)].view->hearsMajority(6s));
+    run(4s);
+    CHECK(m_vms[id(0)].view->hearsMajority(6s));
+}
+
+// Guards against more connections and silence at a size where not all VMs are connected with each other.
+TEST_CASE_METHOD(membership_fixture, "membership, forty VMs, hear a majority through a few connections", "[membership]")
+{
+    startVms(40);
+    run(8s);
+    for (const auto &[each, vm] : m_vms) {
+        CHECK(vm.view->connectedPeers().size() <= 12);
+        CHECK(vm.view->hearsMajority(6s));
+    }
+}
+
+// Guards against a planned stop under callers that still hold the old advice.
+TEST_CASE_METHOD(membership_fixture, "membership, stop requested, leaves the advice and waits for it", "[membership]")
+{
+    startVms(3);
+    run(3s);
+    deliver(id(0), stop_requested{});
+    CHECK_FALSE(m_vms[id(0)].core->isIdle());
+    run(1s);
+    for (const auto &[each, vm] : m_vms) {
+        CHECK_FALSE(advised(*vm.view).contains("entry-0"));
+    }
+    CHECK_FALSE(m_vms[id(0)].core->isIdle());
+    run(7s);
+    CHECK(m_vms[id(0)].core->isIdle());
+}
+
+// Guards against new work for a runner that leaves while the VM list still has it as live.
+TEST_CASE_METHOD(membership_fixture,
+                 "membership, runner leaving, is marked by the first source that says so",
+                 "[membership]")
+{
+    startVms(2);
+    vm_entry runner;
+    runner.id = "runner-1";
+    runner.role = vm_role::model;
+    m_list.push_back(runner);
+    for (int index = 0; index < 2; ++index) {
+        deliver(id(index), vm_list_read{m_list});
+    }
+    run(2s);
+    runner_load load;
+    load.runner = runner_id("runner-1");
+    load.state = backend_state::leaving;
+    deliver(id(0), runner_load_reported{load});
+    CHECK(m_vms[id(0)].view->backendServers()[0].state == backend_state::leaving);
+    run(2s);
+    CHECK(m_vms[id(1)].view->backendServers()[0].state == backend_state::leaving);
+
+    // A restarted runner is live again for all: no VM keeps the mark because another one has it.
+    load.state = backend_state::live;
+    deliver(id(0), runner_load_reported{load});
+    run(2s);
+    CHECK(m_vms[id(0)].view->backendServers()[0].state == backend_state::live);
+    CHECK(m_vms[id(1)].view->backendServers()[0].state == backend_state::live);
+}
+
+// Guards against the last words of an earlier process that override those of its successor.
+TEST_CASE("member table, states of two incarnations, keeps the later one", "[membership]")
+{
+    const steady_time now = manual_clock().steadyNow();
+    member_table table(vm_id("self"));
+    CHECK(table.takeState({vm_id("peer"), 5, 100, 1, 0, false, {}, {}, 0}, now, false));
+    CHECK(table.takeState({vm_id("peer"), 6, 1, 1, 0, false, {}, {}, 0}, now, false));
+    CHECK_FALSE(table.takeState({vm_id("peer"), 5, 101, 1, 0, false, {}, {}, 0}, now, false));
+    CHECK_FALSE(table.takeState({vm_id("peer"), 6, 1, 1, 0, false, {}, {}, 0}, now, false));
+    CHECK_FALSE(table.takeState({vm_id("self"), 9, 1, 1, 0, false, {}, {}, 0}, now, false));
+}
