--- /dev/null
+++ b/src/plugins/admission/tests/admission_test.cpp
@@ -0,0 +1,297 @@
+#include "kernel/kernel.h"
+#include "plugins/admission/fair_order.h"
+#include "plugins/admission/limit_share.h"
+#include "services/admission_controller.h"
+#include "services/member_view.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace crocuslane;
+using namespace std::chrono_literals;
+
+namespace {
+
+class null_timeline : public timeline_recorder
+{
+public:
+    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
+    {
+    }
+};
+
+/// Stands in for membership: a number of entry VMs.
+class fake_members : public plugin, public member_view
+{
+public:
+    explicit fake_members(std::size_t count)
+        : m_count(count)
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return "membership";
+    }
+
+    void initialize(plugin_context &context) override
+    {
+        context.services.offer<member_view>(*this);
+    }
+
+    void handle(const event & /*event*/, action_list & /*actions*/) override
+    {
+    }
+
+    entry_advice advice() const override
+    {
+        return {};
+    }
+
+    std::vector<member_info> members() const override
+    {
+        return std::vector<member_info>(m_count);
+    }
+
+    bool hearsMajority(duration /*limit*/) const override
+    {
+        return true;
+    }
+
+    const std::vector<vm_entry> &backendServers() const override
+    {
+        return m_none;
+    }
+
+    std::vector<vm_id> connectedPeers() const override
+    {
+        return {};
+    }
+
+private:
+    std::size_t m_count;
+    std::vector<vm_entry> m_none;
+};
+
+/// Several entry VMs that tell each other their demand every 500 ms, unless cut off.
+class admission_fixture
+{
+protected:
+    struct vm {
+        seeded_random random{1};
+        null_timeline timeline;
+        std::unique_ptr<kernel> core;
+        admission_controller *admission = nullptr;
+        bool isCutOff = false;
+        std::uint64_t within = 0;
+        std::uint64_t excess = 0;
+        std::uint64_t refused = 0;
+    };
+
+    void startVms(std::size_t count)
+    {
+        auto settings = std::make_shared<configuration>();
+        for (const char *name : {"north/desk", "south/desk"}) {
+            caller_group_settings group;
+            group.id = caller_group_id(name);
+            group.organisation = organisation_id(std::string(name).substr(0, 5));
+            group.requestsPerSecond = 60.0;
+            group.tokensInFlight = 6000;
+            settings->callerGroups[group.id] = group;
+        }
+        m_vms = std::vector<vm>(count);
+        for (vm &each : m_vms) {
+            each.core = std::make_unique<kernel>(kernel::environment{m_clock, each.random, {}, {}, each.timeline});
+            each.core->add(makePlugin("admission"));
+            each.core->add(std::make_unique<fake_members>(count));
+            each.core->start();
+            each.core->handle(configuration_changed{settings, 1});
+            each.admission = &each.core->services().find<admission_controller>();
+        }
+    }
+
+    admission_standing admit(vm &at, const std::string &group, std::uint64_t tokens, bool isKept)
+    {
+        const request_id request("r" + std::to_string(++m_requests));
+        const auto result = at.admission->admit(request, {{}, caller_group_id(group)}, service_id("s"), tokens);
+        const auto *grant = std::get_if<admission_grant>(&result);
+        if (grant == nullptr) {
+            ++at.refused;
+            return admission_standing::excess;
+        }
+        ++(grant->standing == admission_standing::within_bound ? at.within : at.excess);
+        if (!isKept) {
+            at.admission->release(request);
+        }
+        return grant->standing;
+    }
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < m_vms.size(); ++from) {
+            for (std::size_t to = 0; to < m_vms.size(); ++to) {
+                if (from != to && !m_vms[from].isCutOff && !m_vms[to].isCutOff) {
+                    m_vms[to].admission->setRemoteDemand(vm_id(std::to_string(from)),
+                                                         m_vms[from].admission->localDemand());
+                }
+            }
+        }
+    }
+
+    /// Offers evenly spaced requests of one group, @p perSecond at each VM.
+    void offer(duration time, const std::vector<double> &perSecond)
+    {
+        constexpr auto step = 10ms;
+        std::vector<double> due(m_vms.size(), 0.0);
+        for (duration passed{}; passed < time; passed += step) {
+            m_clock.advance(step);
+            for (std::size_t index = 0; index < m_vms.size(); ++index) {
+                for (due[index] += perSecond[index] * toSeconds(step); due[index] >= 1.0; due[index] -= 1.0) {
+                    admit(m_vms[index], "north/desk", 10, false);
+                }
+            }
+            if (m_clock.steadyNow() >= m_nextExchange) {
+                m_nextExchange = m_clock.steadyNow() + 500ms;
+                exchange();
+            }
+        }
+    }
+
+    std::uint64_t takeWithin()
+    {
+        std::uint64_t sum = 0;
+        for (vm &each : m_vms) {
+            sum += std::exchange(each.within, 0);
+        }
+        return sum;
+    }
+
+    manual_clock m_clock;
+    std::vector<vm> m_vms;
+    steady_time m_nextExchange;
+    int m_requests = 0;
+};
+
+} // namespace
+
+// Guards against a limit that holds for each VM instead of all of them, and one that wastes what idle VMs don't use.
+TEST_CASE_METHOD(admission_fixture,
+                 "admission, uneven demand beyond the limit, admits the limit over all VMs",
+                 "[admission]")
+{
+    startVms(6);
+    offer(6s, {300, 60, 0, 0, 0, 0});
+    takeWithin();
+    offer(10s, {300, 60, 0, 0, 0, 0});
+    const std::uint64_t within = takeWithin();
+    CHECK(within <= 600 + 30);
+    CHECK(within >= 600 * 9 / 10);
+}
+
+// Guards against VMs that each give a surge the whole limit before they know of each other's demand.
+TEST_CASE_METHOD(admission_fixture, "admission, demand rises at once, stays near the limit", "[admission]")
+{
+    startVms(6);
+    offer(6s, {10, 0, 0, 0, 0, 0});
+    takeWithin();
+    offer(2s, {100, 100, 100, 100, 100, 100});
+    // The limit, the bursts of all buckets, and one exchange interval's worth.
+    CHECK(takeWithin() <= 120 + 30 + 30);
+}
+
+// Guards against a VM without connection that goes on with its share, or stops serving a group altogether.
+TEST_CASE_METHOD(admission_fixture, "admission, one VM cut off, falls back to its even part", "[admission]")
+{
+    startVms(6);
+    offer(6s, {100, 20, 20, 20, 20, 20});
+    m_vms[0].isCutOff = true;
+    takeWithin();
+    offer(8s, {100, 20, 20, 20, 20, 20});
+    CHECK(takeWithin() <= 480 + 30 + 30);
+    offer(10s, {100, 20, 20, 20, 20, 20});
+    CHECK(m_vms[0].within >= 90);
+    CHECK(takeWithin() <= 600 + 30);
+}
+
+// Guards against excess that is turned away while capacity is idle, and against endless waiting when there is none.
+TEST_CASE_METHOD(admission_fixture, "admission, excess, waits as far as capacity is idle", "[admission]")
+{
+    startVms(1);
+    for (int index = 0; index < 300; ++index) {
+        admit(m_vms[0], "north/desk", 10, true);
+    }
+    const std::uint64_t withoutIdle = m_vms[0].excess;
+    CHECK(m_vms[0].refused > 0);
+    runner_load load;
+    load.runner = runner_id("runner");
+    load.slots = 50;
+    m_vms[0].core->handle(runner_load_reported{load});
+    for (int index = 0; index < 300; ++index) {
+        admit(m_vms[0], "north/desk", 10, true);
+    }
+    CHECK(m_vms[0].excess == withoutIdle + 50);
+}
+
+// Guards against one group's long requests that hold all tokens of the limit and more.
+TEST_CASE_METHOD(admission_fixture, "admission, tokens in flight at the limit, counts more as excess", "[admission]")
+{
+    startVms(2);
+    // A single request may be longer than the whole limit.
+    CHECK(admit(m_vms[0], "south/desk", 7000, false) == admission_standing::within_bound);
+    CHECK(admit(m_vms[0], "south/desk", 4000, true) == admission_standing::within_bound);
+    exchange();
+    CHECK(admit(m_vms[1], "south/desk", 3000, false) == admission_standing::excess);
+    CHECK(admit(m_vms[1], "south/desk", 1500, false) == admission_standing::within_bound);
+}
+
+// Guards against an operators' view in which the cause of an overload can't be seen.
+TEST_CASE_METHOD(admission_fixture, "admission, one group beyond its limit, stands first in the view", "[admission]")
+{
+    startVms(2);
+    offer(4s, {10, 200});
+    admit(m_vms[0], "south/desk", 10, false);
+    nlohmann::json status;
+    status = m_vms[0].core->describe();
+    const nlohmann::json &groups = status["admission"]["groups"];
+    REQUIRE(groups.size() == 2);
+    CHECK(groups[0]["group"] == "north/desk");
+    CHECK(groups[0]["organisation"] == "north");
+    CHECK(groups[0]["service"] == "s");
+    CHECK(groups[0]["demand_per_s"].get<double>() > 150.0);
+    CHECK(groups[0]["limit_per_s"].get<double>() == 60.0);
+    CHECK(groups[1]["admitted"] == 1);
+}
+
+// Guards against a group that waits behind the whole queue of another.
+TEST_CASE("fair order, one group with a long queue, does not delay another", "[admission]")
+{
+    fair_order order;
+    double last = 0.0;
+    for (int index = 0; index < 100; ++index) {
+        last = order.arrive(caller_group_id("many"), 100.0, 1.0);
+    }
+    CHECK(order.arrive(caller_group_id("few"), 100.0, 1.0) < last);
+    // A group that was idle gets no credit for it.
+    order.leave(last);
+    CHECK(order.arrive(caller_group_id("late"), 100.0, 1.0) >= last);
+}
+
+// Guards against shares that add up to more than the limit.
+TEST_CASE("limit share, VMs that hear each other, add up to the limit", "[admission]")
+{
+    const std::vector<double> rates{5.0, 0.0, 40.0};
+    double sum = 0.0;
+    for (std::size_t index = 0; index < rates.size(); ++index) {
+        share_inputs inputs{10.0, 3, rates[index], {}, {}};
+        for (std::size_t other = 0; other < rates.size(); ++other) {
+            if (other != index) {
+                inputs.heardRates.push_back(rates[other]);
+            }
+        }
+        sum += limitShare(inputs);
+    }
+    CHECK(sum == Approx(1.0));
+    CHECK(limitShare({10.0, 4, 5.0, {}, {}}) == Approx(0.25));
+    CHECK(limitShare({10.0, 4, 50.0, {}, {1.0, 1.0, 1.0}}) == Approx(0.25));
+    CHECK(limitShare({10.0, 4, 1.0, {}, {50.0, 1.0, 1.0}}) < 0.25);
+}
