Add the daemon: kernel and edge in one reactor loop, traffic metrics

Cause: the parts need one process that feeds events in and carries actions out. Ruled out: carrying out actions inside nested deliveries (an action can cause an event before the next action of the same step); events are queued and handled after the actions of the step. Before: no program.

--- /dev/null
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -0,0 +1,288 @@
+#include "entry_node.h"
+
+#include "base/hybrid_clock.h"
+#include "base/logger.h"
+#include "base/random_source.h"
+#include "edge/backend_client.h"
+#include "edge/caller_interface.h"
+#include "edge/log_client.h"
+#include "edge/operator_interface.h"
+#include "edge/peer_network.h"
+#include "edge/platform_client.h"
+#include "edge/traffic_metrics.h"
+#include "kernel/kernel.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <boost/leaf/error.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace crocuslane {
+
+namespace {
+
+class discarding_timeline : public timeline_recorder
+{
+public:
+    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
+    {
+    }
+};
+
+} // namespace
+
+struct entry_node::private_data {
+    private_data(entry_node &owner, entry_node::settings given, const clock &clock, event_loop &loop, logger &log)
+        : settings(std::move(given))
+        , time(clock)
+        , loop(loop)
+        , log(log)
+        , random(systemSeed())
+        , hybridTime(clock)
+        , decisions({clock, random, settings.node, {settings.sessionKey}, timeline})
+        , metrics(clock)
+        , http(loop)
+        , operators(
+              {decisions,
+               owner,
+               settings.node,
+               settings.bootstrapKeyHash,
+               [](const std::string & /*request*/, std::int64_t /*since*/) { return std::string(R"({"events":[]})"); },
+               [this] { return metricsText(); }})
+        , callers(clock, owner, operators, fmt::format("{}-{:x}", settings.node.id.value(), settings.node.incarnation))
+        , server(loop, callers, settings.bodyLimit)
+        , logClient(loop, http, clock, owner, settings.logServiceAddress)
+        , platform(loop, http, owner, {settings.vmListAddress, settings.ratingServiceAddress})
+        , backends(http, owner)
+        , peers({loop, owner, log, hybridTime, settings.node, settings.peerKey})
+    {
+        operators.setCallers(callers);
+    }
+
+    std::string metricsText()
+    {
+        metrics.setPeerBytesSent(peers.bytesSent());
+        return metrics.text();
+    }
+
+    void handlePending()
+    {
+        if (isHandling) {
+            return;
+        }
+        isHandling = true;
+        while (!pending.empty()) {
+            event next = std::move(pending.front());
+            pending.pop_front();
+            metrics.observe(next);
+            const steady_time begin = time.steadyNow();
+            const action_list actions = decisions.handle(std::move(next));
+            metrics.observeStep(time.steadyNow() - begin);
+            carryOut(actions);
+        }
+        isHandling = false;
+        server.flush();
+        scheduleDeadline();
+    }
+
+    void carryOut(const action_list &actions)
+    {
+        for (const action &action : actions) {
+            metrics.observe(action);
+            std::visit([this](const auto &content) { carryOut(content); }, action);
+        }
+    }
+
+    void carryOut(const start_attempt &action)
+    {
+        const model_body *body = callers.modelBody(action.request);
+        if (!body) {
+            pending.push_back(attempt_failed{action.attempt, attempt_failure::not_sent});
+            return;
+        }
+        log.write(log_level::debug,
+                  "attempt_started",
+                  {{"request", action.request.value()},
+                   {"attempt", std::to_string(action.attempt)},
+                   {"runner", action.runner.value()},
+                   {"version", action.version.value()}});
+        backends.start(action, *body);
+    }
+
+    void carryOut(const start_call &action)
+    {
+        const call_body *body = callers.callBody(action.request);
+        if (!body) {
+            pending.push_back(attempt_failed{action.attempt, attempt_failure::not_sent});
+            return;
+        }
+        backends.start(action, *body);
+    }
+
+    void carryOut(const cancel_attempt &action)
+    {
+        backends.cancel(action);
+    }
+
+    void carryOut(const begin_answer &action)
+    {
+        callers.carryOut(action);
+    }
+
+    void carryOut(const send_token &action)
+    {
+        callers.carryOut(action);
+    }
+
+    void carryOut(const finish_answer &action)
+    {
+        log.write(log_level::info,
+                  "answer_finished",
+                  {{"request", action.request.value()},
+                   {"tokens", std::to_string(action.usage.outputTokens)},
+                   {"reason", std::string(toName(action.reason))}});
+        callers.carryOut(action);
+    }
+
+    void carryOut(const refuse_request &action)
+    {
+        log.write(log_level::info,
+                  "request_refused",
+                  {{"request", action.request.value()},
+                   {"code", std::string(toName(action.error.code))},
+                   {"execution", std::string(toName(action.error.execution))},
+                   {"message", action.error.message}});
+        callers.carryOut(action);
+    }
+
+    void carryOut(const answer_call &action)
+    {
+        callers.carryOut(action);
+    }
+
+    void carryOut(const follow_stream &action)
+    {
+        logClient.follow(action);
+    }
+
+    void carryOut(const append_record &action)
+    {
+        logClient.append(action);
+    }
+
+    void carryOut(const connect_peer &action)
+    {
+        peers.connect(action);
+    }
+
+    void carryOut(const disconnect_peer &action)
+    {
+        peers.disconnect(action);
+    }
+
+    void carryOut(const send_to_peer &action)
+    {
+        peers.send(action);
+    }
+
+    void carryOut(const watch_runners &action)
+    {
+        platform.watch(action);
+    }
+
+    void carryOut(const order_runner &action)
+    {
+        log.write(log_level::info,
+                  "order_sent",
+                  {{"runner", action.runner.value()}, {"fencing", std::to_string(action.fencing)}});
+        platform.order(action);
+    }
+
+    void carryOut(const stop_process & /*action*/)
+    {
+        log.write(log_level::info, "stopped", {});
+        loop.stop();
+    }
+
+    void scheduleDeadline()
+    {
+        const steady_time wanted = decisions.nextDeadline();
+        if (deadlineTimer && scheduledDeadline == wanted) {
+            return;
+        }
+        if (deadlineTimer) {
+            loop.cancel(*deadlineTimer);
+            deadlineTimer.reset();
+        }
+        scheduledDeadline = wanted;
+        if (wanted == steady_time::max()) {
+            return;
+        }
+        // A deadline that stays in the past must not starve the sockets.
+        constexpr std::chrono::milliseconds shortestWait{1};
+        const duration wait = std::max<duration>(wanted - time.steadyNow(), shortestWait);
+        deadlineTimer = loop.schedule(wait, [this] {
+            deadlineTimer.reset();
+            pending.push_back(timer_expired{});
+            handlePending();
+        });
+    }
+
+    entry_node::settings settings;
+    const clock &time;
+    event_loop &loop;
+    logger &log;
+    seeded_random random;
+    hybrid_clock hybridTime;
+    discarding_timeline timeline;
+    kernel decisions;
+    traffic_metrics metrics;
+    http_client http;
+    operator_interface operators;
+    caller_interface callers;
+    http_server server;
+    log_client logClient;
+    platform_client platform;
+    backend_client backends;
+    peer_network peers;
+    std::deque<event> pending;
+    bool isHandling = false;
+    std::optional<timer_number> deadlineTimer;
+    steady_time scheduledDeadline;
+};
+
+entry_node::entry_node(settings settings, const clock &clock, event_loop &loop, logger &log)
+    : d(std::make_unique<private_data>(*this, std::move(settings), clock, loop, log))
+{
+}
+
+entry_node::~entry_node()
+{
+    // Connections that end now would deliver events into parts that are being destroyed.
+    d->isHandling = true;
+}
+
+boost::leaf::result<void> entry_node::start()
+{
+    d->decisions.addAllRegistered();
+    const action_list actions = d->decisions.start();
+    BOOST_LEAF_CHECK(d->peers.listen(d->settings.node.peerAddress));
+    BOOST_LEAF_CHECK(d->server.listen(d->settings.node.callerAddress));
+    d->carryOut(actions);
+    d->platform.start();
+    d->scheduleDeadline();
+    return {};
+}
+
+void entry_node::deliver(event event)
+{
+    d->pending.push_back(std::move(event));
+    d->handlePending();
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/apps/crocuslaned/entry_node.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "edge/event_sink.h"
+#include "kernel/types.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+#include <string>
+
+namespace crocuslane {
+
+class clock;
+class event_loop;
+class logger;
+
+/// One entry VM: the kernel with all plug-ins, and the edge that feeds it and carries out its actions.
+class entry_node : public event_sink
+{
+public:
+    struct settings {
+        node_identity node;
+        std::string logServiceAddress;
+        std::string vmListAddress;
+        std::string ratingServiceAddress;
+        std::string sessionKey;
+        std::string peerKey;
+        /// SHA-256 of the key that may publish the first configuration, hexadecimal; empty for none.
+        std::string bootstrapKeyHash;
+        std::size_t bodyLimit = 0;
+    };
+
+    entry_node(settings settings, const clock &clock, event_loop &loop, logger &log);
+    ~entry_node() override;
+    entry_node(const entry_node &) = delete;
+    entry_node &operator=(const entry_node &) = delete;
+
+    /// Opens the listening sockets and starts the decision code. Fails with net_error.
+    boost::leaf::result<void> start();
+    void deliver(event event) override;
+
+private:
+    struct private_data;
+    std::unique_ptr<private_data> d;
+};
+
+} // namespace crocuslane
