--- a/src/libs/base/text_id.h
+++ b/src/libs/base/text_id.h
@@ -28,7 +28,8 @@
         return m_value.empty();
     }
 
-    auto operator<=>(const text_id &other) const = default;
+    // clang-tidy 14 takes the 0 of the generated comparison for a null pointer.
+    auto operator<=>(const text_id &other) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
     std::string m_value;
--- a/src/libs/logstream/stream_reader.cpp
+++ b/src/libs/logstream/stream_reader.cpp
@@ -106,13 +106,17 @@
     read_batch batch;
     if (read->firstOffset > m_position) {
         batch.hasGap = true;
+        batch.readableFrom = read->firstOffset;
         m_position = read->firstOffset;
     }
     for (const log_record &record : read->records) {
         if (record.offset < m_position) {
             continue;
         }
-        batch.hasGap = batch.hasGap || record.offset > m_position;
+        if (record.offset > m_position) {
+            batch.hasGap = true;
+            batch.readableFrom = record.offset;
+        }
         if (batch.hasGap && !batch.appendTimeAfterGap) {
             batch.appendTimeAfterGap = record.appendTime;
         }
--- a/src/libs/logstream/stream_reader.h
+++ b/src/libs/logstream/stream_reader.h
@@ -27,6 +27,8 @@
     std::vector<std::string> recordIds;
     /// Retention removed records before they were read: those before the entries of this batch are missing.
     bool hasGap = false;
+    /// First offset that was readable after the gap.
+    log_offset readableFrom = 0;
     /// Append time of the first record after the gap; records that are missing are not younger.
     std::optional<system_time> appendTimeAfterGap;
     /// Nothing was in the log after this batch when the read was asked for.
