Stop the daemon once every plug-in is idle and every answer is sent

Cause: a planned stop must cut no request; the kernel knows when plug-ins are idle, but not whether the last bytes of an answer have left. Ruled out: stopping when the kernel is idle (a slow caller would lose the end of its answer). Before: SIGTERM had no effect. Conclusion: the check is repeated every 50 ms until callers, server and plug-ins are idle.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -14,6 +14,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "plugins/publication/publication_settings.h"
 
 #include <boost/leaf/error.hpp>
 #include <fmt/format.h>
@@ -26,6 +27,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds stopCheckInterval{50};
+
 class discarding_timeline : public timeline_recorder
 {
 public:
@@ -62,6 +65,10 @@
         , peers({loop, owner, log, hybridTime, settings.node, settings.peerKey})
     {
         operators.setCallers(callers);
+        publication.freshnessLimit = settings.freshnessLimit;
+        publication.retention = settings.logRetention;
+        publication.bootstrapKeyHash = settings.bootstrapKeyHash;
+        decisions.services().offer(publication);
     }
 
     std::string metricsText()
@@ -80,10 +87,16 @@
             event next = std::move(pending.front());
             pending.pop_front();
             metrics.observe(next);
+            const bool isStopRequest = std::holds_alternative<stop_requested>(next);
             const steady_time begin = time.steadyNow();
             const action_list actions = decisions.handle(std::move(next));
             metrics.observeStep(time.steadyNow() - begin);
             carryOut(actions);
+            if (isStopRequest && !isStopping) {
+                isStopping = true;
+                log.write(log_level::info, "stopping", {});
+                loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
+            }
         }
         isHandling = false;
         server.flush();
@@ -209,6 +222,16 @@
         loop.stop();
     }
 
+    /// A planned stop waits for every plug-in: streams in progress, cached advice, bills and duties to hand over.
+    void stopWhenIdle()
+    {
+        if (decisions.isIdle() && !callers.hasRequests() && !server.isBusy()) {
+            carryOut(stop_process{});
+            return;
+        }
+        loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
+    }
+
     void scheduleDeadline()
     {
         const steady_time wanted = decisions.nextDeadline();
@@ -240,6 +263,7 @@
     seeded_random random;
     hybrid_clock hybridTime;
     discarding_timeline timeline;
+    publication_settings publication;
     kernel decisions;
     traffic_metrics metrics;
     http_client http;
@@ -252,6 +276,7 @@
     peer_network peers;
     std::deque<event> pending;
     bool isHandling = false;
+    bool isStopping = false;
     std::optional<timer_number> deadlineTimer;
     steady_time scheduledDeadline;
 };
--- a/src/apps/crocuslaned/entry_node.h
+++ b/src/apps/crocuslaned/entry_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "edge/event_sink.h"
 #include "kernel/types.h"
 
@@ -10,7 +11,6 @@
 
 namespace crocuslane {
 
-class clock;
 class event_loop;
 class logger;
 
@@ -28,6 +28,8 @@
         /// SHA-256 of the key that may publish the first configuration, hexadecimal; empty for none.
         std::string bootstrapKeyHash;
         std::size_t bodyLimit = 0;
+        duration freshnessLimit = std::chrono::seconds(6);
+        duration logRetention = std::chrono::hours(24);
     };
 
     entry_node(settings settings, const clock &clock, event_loop &loop, logger &log);
--- a/src/libs/edge/caller_interface.cpp
+++ b/src/libs/edge/caller_interface.cpp
@@ -213,6 +213,11 @@
     return found == m_requests.end() ? nullptr : found->second.get();
 }
 
+bool caller_interface::hasRequests() const
+{
+    return !m_requests.empty();
+}
+
 const model_body *caller_interface::modelBody(const request_id &request) const
 {
     const auto found = m_requests.find(request);
--- a/src/libs/edge/caller_interface.h
+++ b/src/libs/edge/caller_interface.h
@@ -31,6 +31,8 @@
     void carryOut(const refuse_request &action);
     void carryOut(const answer_call &action);
 
+    /// True while a caller waits for the rest of an answer.
+    bool hasRequests() const;
     /// Null when the request has ended.
     const model_body *modelBody(const request_id &request) const;
     const call_body *callBody(const request_id &request) const;
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -353,6 +353,11 @@
     return {};
 }
 
+bool http_server::isBusy() const
+{
+    return !d->open.empty();
+}
+
 void http_server::flush()
 {
     if (d->needsRun) {
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -60,6 +60,8 @@
 
     /// @p address is "ip:port".
     boost::leaf::result<void> listen(const std::string &address);
+    /// True while a request is being read or its answer is being sent.
+    bool isBusy() const;
     /// Sends what was written outside of handleRequest(); call it after each step.
     void flush();
 
