Choose versions by learned quality and cost; suspend versions that turn bad by sequential tests

Cause: the first chooser took the cheapest version whatever its answers were worth. Ruled out: fixed thresholds on rates (slow for small excesses, false alarms for small counts); one global quality per version (kinds differ). Exploration is bounded so that the mix still meets the target when the unknown version is bad. Before: always the cheapest permitted version.

--- a/src/libs/kernel/timeline.cpp
+++ b/src/libs/kernel/timeline.cpp
@@ -23,6 +23,7 @@
     {timeline_kind::bill_durable, "bill_durable"},
     {timeline_kind::configuration_accepted, "configuration_accepted"},
     {timeline_kind::freshness_changed, "freshness_changed"},
+    {timeline_kind::version_suspended, "version_suspended"},
     {timeline_kind::duty_changed, "duty_changed"},
     {timeline_kind::order_sent, "order_sent"},
     {timeline_kind::member_changed, "member_changed"},
--- a/src/libs/kernel/timeline.h
+++ b/src/libs/kernel/timeline.h
@@ -25,6 +25,7 @@
     bill_durable,
     configuration_accepted,
     freshness_changed,
+    version_suspended,
     duty_changed,
     order_sent,
     member_changed,
--- a/src/plugins/versions/versions_plugin.cpp
+++ b/src/plugins/versions/versions_plugin.cpp
@@ -1,6 +1,8 @@
 #include "plugins/versions/versions_plugin.h"
 
+#include "base/name_table.h"
 #include "plugins/versions/session_token.h"
+#include "plugins/versions/version_selector.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +15,13 @@
 const plugin_registrar registrar("versions",
                                  []() -> std::unique_ptr<plugin> { return std::make_unique<versions_plugin>(); });
 
+constexpr auto stateNames = makeNameTable<version_state>({
+    {version_state::active, "active"},
+    {version_state::canary, "canary"},
+    {version_state::draining, "draining"},
+    {version_state::withdrawn, "withdrawn"},
+});
+
 request_error refusal(error_code code, std::string message)
 {
     return {code, execution_state::not_run, std::move(message), 0.0};
@@ -39,11 +48,101 @@
     m_context = &context;
     m_configuration = &context.services.find<configuration_source>();
     m_tokens = std::make_unique<session_token>(context.secrets.sessionKey);
+    m_selector = std::make_unique<version_selector>(context.random);
     context.services.offer<version_chooser>(*this);
 }
 
-void versions_plugin::handle(const event & /*event*/, action_list & /*actions*/)
+void versions_plugin::handle(const event &event, action_list & /*actions*/)
+{
+    if (const auto *read = std::get_if<ratings_read>(&event)) {
+        for (const answer_rating &rating : read->ratings) {
+            readRating(rating);
+        }
+    } else if (std::holds_alternative<configuration_changed>(event)) {
+        applyConfiguration();
+    }
+}
+
+void versions_plugin::readRating(const answer_rating &rating)
+{
+    const std::shared_ptr<const configuration> current = m_configuration->current();
+    if (!current) {
+        return;
+    }
+    const auto settings = current->versions.find(rating.version);
+    if (settings == current->versions.end()) {
+        return;
+    }
+    quality_estimate reference = m_quality.estimate(rating.kind, rating.version);
+    if (settings->second.replaces) {
+        // A new version is held against the one that it shall replace, which has the longer record.
+        const quality_estimate replaced = m_quality.estimate(rating.kind, *settings->second.replaces);
+        if (replaced.count > reference.count) {
+            reference = replaced;
+        }
+    }
+    m_monitors[rating.version].addRating(rating.score, reference);
+    m_quality.add(rating.kind, rating.version, rating.score);
+    suspendIfFaulty(rating.version);
+}
+
+void versions_plugin::applyConfiguration()
+{
+    const std::shared_ptr<const configuration> current = m_configuration->current();
+    for (const auto &[id, settings] : current->versions) {
+        const auto known = m_known.find(id);
+        const bool isChanged = known == m_known.end() || known->second.state != settings.state
+            || known->second.canaryPercent != settings.canaryPercent;
+        if (isChanged && m_suspended.erase(id) > 0) {
+            // The operators decided anew about the version, so it starts with a clean record.
+            m_monitors[id].reset();
+            m_quality.remove(id);
+        }
+    }
+    m_known = current->versions;
+}
+
+void versions_plugin::suspendIfFaulty(const version_id &version)
 {
+    const std::optional<version_fault> fault = m_monitors[version].fault();
+    if (!fault || !m_suspended.insert(version).second) {
+        return;
+    }
+    m_context->timeline.record(
+        timeline_kind::version_suspended, {}, "version=" + version.value() + " fault=" + std::string(toName(*fault)));
+}
+
+double versions_plugin::qualityTarget(const kind_id &kind, const service_id &service) const
+{
+    const std::shared_ptr<const configuration> current = m_configuration->current();
+    const auto found = current->kinds.find(kind);
+    if (found != current->kinds.end()) {
+        return found->second.qualityTarget;
+    }
+    // A request of no known kind may be of any, so it gets the highest target of its service.
+    double target = 0.0;
+    for (const auto &[id, settings] : current->kinds) {
+        if (settings.service == service) {
+            target = std::max(target, settings.qualityTarget);
+        }
+    }
+    return target;
+}
+
+std::vector<version_id> versions_plugin::offeredVersions(std::vector<version_id> permitted)
+{
+    const std::shared_ptr<const configuration> current = m_configuration->current();
+    std::vector<version_id> offered;
+    for (const version_id &version : permitted) {
+        const version_settings &settings = current->versions.at(version);
+        constexpr double percent = 100.0;
+        const bool isInShare =
+            settings.state != version_state::canary || m_context->random.unit() * percent < settings.canaryPercent;
+        if (isInShare && !m_suspended.contains(version)) {
+            offered.push_back(version);
+        }
+    }
+    return offered.empty() ? permitted : offered;
 }
 
 void versions_plugin::describe(nlohmann::json &status) const
@@ -52,10 +151,27 @@
     if (!current) {
         return;
     }
-    constexpr std::string_view stateNames[] = {"active", "canary", "draining", "withdrawn"};
     for (const auto &[id, version] : current->versions) {
-        status["versions"].push_back(
-            {{"version", id.value()}, {"state", stateNames[static_cast<std::size_t>(version.state)]}});
+        const auto monitor = m_monitors.find(id);
+        nlohmann::json entry = {{"version", id.value()},
+                                {"state", stateNames.name(version.state)},
+                                {"suspended", m_suspended.contains(id)}};
+        if (monitor != m_monitors.end()) {
+            entry["evidence"] = monitor->second.level();
+            if (const std::optional<version_fault> fault = monitor->second.fault()) {
+                entry["fault"] = toName(*fault);
+            }
+        }
+        for (const auto &[kind, settings] : current->kinds) {
+            const quality_estimate quality = m_quality.estimate(kind, id);
+            if (quality.count > 0) {
+                entry["quality"].push_back({{"kind", kind.value()},
+                                            {"mean", quality.mean},
+                                            {"lower", quality.lower},
+                                            {"ratings", quality.count}});
+            }
+        }
+        status["versions"].push_back(std::move(entry));
     }
 }
 
@@ -85,11 +201,19 @@
         return refusal(error_code::forbidden,
                        "no version of \"" + request.service.value() + "\" is open to this organisation");
     }
-    const token_usage typical{1000, 0, 1000};
-    std::stable_sort(versions.begin(), versions.end(), [&](const version_id &left, const version_id &right) {
-        return cost(left, typical) < cost(right, typical);
-    });
-    return version_candidates{std::move(versions), false};
+    const auto kind = current->kinds.find(request.kind);
+    constexpr std::uint32_t typicalOutputTokens = 200;
+    const token_usage expected{
+        request.promptTokens, 0, kind == current->kinds.end() ? typicalOutputTokens : kind->second.expectedTokens};
+    std::vector<version_option> options;
+    for (const version_id &version : offeredVersions(std::move(versions))) {
+        options.push_back({version,
+                           static_cast<double>(cost(version, expected)),
+                           m_quality.estimate(request.kind, version),
+                           m_monitors[version].weakRate()});
+    }
+    return version_candidates{m_selector->order(std::move(options), qualityTarget(request.kind, request.service)),
+                              false};
 }
 
 std::variant<version_candidates, request_error> versions_plugin::chooseForSession(const model_request &request,
@@ -151,8 +275,10 @@
     return m_tokens->sign(caller.organisation, request.service, version);
 }
 
-void versions_plugin::observe(const answer_observation & /*observation*/)
+void versions_plugin::observe(const answer_observation &observation)
 {
+    m_monitors[observation.version].addAnswer(observation);
+    suspendIfFaulty(observation.version);
 }
 
 std::uint64_t versions_plugin::cost(const version_id &version, const token_usage &usage) const
