Add the daemon's settings, with pages generated from the key tables

Cause: crocuslaned needs its identity, addresses, key files and limits. One table gives reader, command-line options, help and docs/settings.md; the same holds for docs/configuration.md and the operators' text. IPv6 addresses were ruled out, because the network layer reads IPv4 only. Conclusion: parseDaemonCommandLine() and loadSettings() are ready for the daemon; keys under [limits] take effect once the daemon passes them on.

--- a/src/libs/configuration/key_table.cpp
+++ b/src/libs/configuration/key_table.cpp
@@ -129,6 +129,8 @@
         return parseText(isId(text), text);
     case value_type::id_list:
         return parseList(text, isId);
+    case value_type::sha256:
+        return parseText(isSha256(text), text);
     case value_type::sha256_list:
         return parseList(text, isSha256);
     case value_type::address:
@@ -156,10 +158,12 @@
         return fmt::format("one {}", referred);
     case value_type::id_list:
         return fmt::format("list of {}s separated by commas, each once", referred);
+    case value_type::sha256:
+        return "SHA-256 hash (64 digits 0-9a-f)";
     case value_type::sha256_list:
         return "list of SHA-256 hashes (64 digits 0-9a-f) separated by commas, each once";
     case value_type::address:
-        return "IP address and port, as 192.0.2.1:8080 or [2001:db8::1]:8080";
+        return "IPv4 address and port, as 192.0.2.1:8080";
     case value_type::text:
         return "text that is not empty";
     case value_type::path:
@@ -186,17 +190,10 @@
     if (!port || *port == 0) {
         return false;
     }
-    std::string host(text.substr(0, colon));
-    in_addr version4{};
-    if (inet_pton(AF_INET, host.c_str(), &version4) == 1) {
-        // inet_pton stops at an embedded NUL byte.
-        return host.find('\0') == std::string::npos;
-    }
-    if (host.size() < 2 || host.front() != '[' || host.back() != ']' || host.find('\0') != std::string::npos) {
-        return false;
-    }
-    in6_addr version6{};
-    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &version6) == 1;
+    const std::string host(text.substr(0, colon));
+    in_addr address{};
+    // inet_pton stops at an embedded NUL byte.
+    return host.find('\0') == std::string::npos && inet_pton(AF_INET, host.c_str(), &address) == 1;
 }
 
 std::string_view trimmed(std::string_view text)
--- a/src/libs/configuration/key_table.h
+++ b/src/libs/configuration/key_table.h
@@ -16,8 +16,9 @@
     choice,
     id,
     id_list,
+    sha256,
     sha256_list,
-    /// "address:port" with an IPv4 address or a bracketed IPv6 address.
+    /// "address:port" with an IPv4 address.
     address,
     text,
     path,
--- a/src/libs/configuration/problem.cpp
+++ b/src/libs/configuration/problem.cpp
@@ -44,7 +44,7 @@
 
 std::string toText(const configuration_problem &problem, std::string_view file)
 {
-    std::string text(file);
+    std::string text(problem.source.empty() ? file : problem.source);
     if (problem.line != 0) {
         text += fmt::format(":{}", problem.line);
     }
--- a/src/libs/configuration/problem.h
+++ b/src/libs/configuration/problem.h
@@ -30,6 +30,8 @@
     std::string key;
     std::string found;
     std::string allowed;
+    /// Name of the file, or "command line"; empty for the text that was passed to the check.
+    std::string source = {};
 };
 
 /// Error object of this library's results; holds all faults of the text, in order of their lines.
@@ -38,7 +40,7 @@
 };
 
 std::string_view toName(problem_code code);
-/// "file:line: [section] key: found X; allowed: Y".
+/// "file:line: [section] key: found X; allowed: Y". @p file is used when the problem names no source.
 std::string toText(const configuration_problem &problem, std::string_view file);
 /// Orders by line, faults without a line last.
 void sortByLine(std::vector<configuration_problem> &problems);
--- /dev/null
+++ b/src/libs/configuration/tests/settings_test.cpp
@@ -0,0 +1,138 @@
+#include "configuration/settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+
+using namespace crocuslane;
+
+namespace {
+
+class settings_fixture
+{
+protected:
+    const std::string m_valid = "[node]\n"
+                                "id = muscat-a-1\n"
+                                "availability_zone = muscat-a\n"
+                                "region = muscat\n"
+                                "caller_address = 127.0.0.1:22001\n"
+                                "peer_address = 127.0.0.1:22002\n"
+                                "[platform]\n"
+                                "log_service = 127.0.0.1:22003\n"
+                                "vm_list = 127.0.0.1:22004\n"
+                                "rating_service = 127.0.0.1:22005\n"
+                                "[security]\n"
+                                "development = true\n";
+
+    static std::string readPage(const std::string &name)
+    {
+        std::ifstream file(CROCUSLANE_SOURCE_FOLDER "/docs/" + name);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    /// Texts of the problems of a command line, or of the settings that it loads.
+    static std::vector<std::string> problemsOf(const std::vector<std::string> &arguments)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::vector<std::string>> {
+                auto commandLine = parseDaemonCommandLine(arguments);
+                if (!commandLine) {
+                    return commandLine.error();
+                }
+                auto settings = loadSettings(*commandLine);
+                if (!settings) {
+                    return settings.error();
+                }
+                return std::vector<std::string>{};
+            },
+            [](const configuration_error &error) {
+                std::vector<std::string> texts;
+                for (const configuration_problem &problem : error.problems) {
+                    texts.push_back(toText(problem, "text"));
+                }
+                return texts;
+            },
+            [] { return std::vector<std::string>{"no error object"}; });
+    }
+};
+
+} // namespace
+
+// Guards against a value that ends up in the wrong member and against an override that the file wins over.
+TEST_CASE_METHOD(settings_fixture, "settings, valid text with override, are filled", "[settings]")
+{
+    const settings_result result = checkSettings(m_valid + "[limits]\nfreshness_s = 4.5\n",
+                                                 {{"node", "id", "dhofar-1"}, {"log", "level", "debug"}});
+    REQUIRE(result.value);
+    CHECK(result.value->node.id == "dhofar-1");
+    CHECK(result.value->node.region == "muscat");
+    CHECK(result.value->platform.vmList == "127.0.0.1:22004");
+    CHECK(result.value->limits.freshnessSeconds == 4.5);
+    CHECK(result.value->limits.bodyBytes == 1'048'576);
+    CHECK(result.value->logLevel == log_level::debug);
+}
+
+// Guards against a check that stops at the first fault.
+TEST_CASE_METHOD(settings_fixture, "settings, many faults, are all reported with their lines", "[settings]")
+{
+    const settings_result result = checkSettings("[node]\n"
+                                                 "id = Not A Name\n"
+                                                 "caller_address = localhost:80\n"
+                                                 "peer_address = 127.0.0.1:0\n"
+                                                 "colour = red\n"
+                                                 "[limit]\n"
+                                                 "[limits]\n"
+                                                 "body_bytes = 12.5\n",
+                                                 {{"limits", "drain_s", "soon"}});
+    std::vector<std::size_t> lines;
+    for (const configuration_problem &problem : result.problems) {
+        if (problem.code != problem_code::missing_key) {
+            lines.push_back(problem.line);
+        }
+    }
+    CHECK(lines == std::vector<std::size_t>{2, 3, 4, 5, 6, 8, 0});
+    CHECK(result.problems.back().source.empty());
+    CHECK_FALSE(result.value);
+}
+
+// Guards against a production node that starts without TLS.
+TEST_CASE_METHOD(settings_fixture, "settings, production without key files, are refused", "[settings]")
+{
+    const settings_result result =
+        checkSettings(m_valid, {{"security", "development", "false"}, {"security", "peer_key", "/etc/key"}});
+    std::vector<std::string> keys;
+    for (const configuration_problem &problem : result.problems) {
+        keys.push_back(problem.key);
+    }
+    std::sort(keys.begin(), keys.end());
+    CHECK(keys == std::vector<std::string>{"ca_certificate", "certificate", "peer_key", "private_key", "session_key"});
+}
+
+// Guards against errors that don't name the place of the fault.
+TEST_CASE_METHOD(settings_fixture, "command line, faults, name file or command line", "[settings]")
+{
+    CHECK(problemsOf({"--nonsense"}).size() == 1);
+    CHECK(problemsOf({"--nod.id=a"}).front().starts_with("command line: "));
+    CHECK(problemsOf({"stray"}).front().starts_with("command line: "));
+    CHECK(problemsOf({"--settings", "/nonexistent/file"})
+              .front()
+              .starts_with("/nonexistent/file: found no readable file"));
+    const std::vector<std::string> problems = problemsOf({"--node.id=?"});
+    CHECK(std::count(problems.begin(), problems.end(), "command line: [node] id: found '?'; allowed: one name") == 1);
+}
+
+// Guards against a documented default that differs from the one in force, and against stale pages.
+TEST_CASE_METHOD(settings_fixture, "settings, tables, agree with defaults and committed pages", "[settings]")
+{
+    for (const setting_binding &binding : settingKeys()) {
+        CAPTURE(binding.section, binding.rule.key);
+        if (!binding.rule.defaultValue.empty()) {
+            CHECK(binding.show(daemon_settings{}) == binding.rule.defaultValue);
+        }
+    }
+    CHECK(describeSettings() == readPage("settings.md"));
+    CHECK(describeConfiguration() == readPage("configuration.md"));
+}
