--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -88,8 +88,7 @@
         "platform",
         {.key = "rating_service",
          .type = value_type::address,
-         .isRequired = true,
-         .description = "Address of the rating service."},
+         .description = "Address of the rating service; without one, quality estimates keep their first bound."},
         [](daemon_settings &settings, const key_value &value) { settings.platform.ratingService = asText(value); },
         [](const daemon_settings &settings) { return settings.platform.ratingService; }},
     setting_binding{
@@ -145,7 +144,7 @@
         [](const daemon_settings &settings) { return settings.security.caCertificate; }},
     setting_binding{
         "security",
-        {.key = "bootstrap_key_hash",
+        {.key = "bootstrap_operator_key_hash",
          .type = value_type::sha256,
          .description = "SHA-256 of the key that may publish the first configuration; not needed after that."},
         [](daemon_settings &settings, const key_value &value) { settings.security.bootstrapKeyHash = asText(value); },
