--- a/src/libs/logrecords/log_record_codec.cpp
+++ b/src/libs/logrecords/log_record_codec.cpp
@@ -1,6 +1,6 @@
 #include "logrecords/log_record_codec.h"
 
-#include "logrecords/log_records_generated.h"
+#include <log_records_generated.h>
 
 #include <boost/leaf/error.hpp>
 
