--- a/src/libs/logrecords/log_entry.h
+++ b/src/libs/logrecords/log_entry.h
@@ -42,6 +42,8 @@
     vm_id vm;
     std::uint64_t incarnation = 0;
     request_id request;
+    /// Number of the claim within the process: a caller may send a request id again.
+    std::uint64_t number = 0;
 
     auto operator<=>(const claimant &other) const = default;
 };
--- a/src/libs/logrecords/log_record_codec.cpp
+++ b/src/libs/logrecords/log_record_codec.cpp
@@ -49,7 +49,8 @@
                                        entry.bodyHash.c_str(),
                                        entry.by.request.value().c_str(),
                                        entry.by.vm.value().c_str(),
-                                       entry.by.incarnation)
+                                       entry.by.incarnation,
+                                       entry.by.number)
                 .Union()};
 }
 
@@ -98,7 +99,8 @@
                                    entry.by.incarnation,
                                    toRecord(entry.execution),
                                    entry.status,
-                                   body)
+                                   body,
+                                   entry.by.number)
                 .Union()};
 }
 
@@ -158,7 +160,8 @@
 template<typename table>
 claimant decodeClaimant(const table &entry)
 {
-    return claimant{vm_id(textOf(entry.vm())), entry.incarnation(), request_id(textOf(entry.request()))};
+    return claimant{
+        vm_id(textOf(entry.vm())), entry.incarnation(), request_id(textOf(entry.request())), entry.number()};
 }
 
 log_entry decodeContent(const records::claim &entry)
--- a/src/libs/logrecords/tests/log_record_codec_test.cpp
+++ b/src/libs/logrecords/tests/log_record_codec_test.cpp
@@ -11,7 +11,7 @@
 std::vector<log_entry> oneOfEach()
 {
     const claim_key key{organisation_id("rimal"), operation_id("tanker-dispatch"), "1750000000-a"};
-    const claimant by{vm_id("vm1"), 7, request_id("r1")};
+    const claimant by{vm_id("vm1"), 7, request_id("r1"), 9};
     bill billed;
     billed.request = request_id("r2");
     billed.usage = {10, 4, 20};
@@ -35,7 +35,7 @@
     CHECK(std::get<publication_entry>(decoded->at(0)).replacesVersion == 3);
     CHECK(std::get<snapshot_entry>(decoded->at(1)).asOf == 17);
     CHECK(std::get<claim_entry>(decoded->at(2)).key.key == "1750000000-a");
-    CHECK(std::get<claim_entry>(decoded->at(2)).by == claimant{vm_id("vm1"), 7, request_id("r1")});
+    CHECK(std::get<claim_entry>(decoded->at(2)).by == claimant{vm_id("vm1"), 7, request_id("r1"), 9});
     CHECK(std::get<outcome_entry>(decoded->at(3)).body == std::string("a\0b", 3));
     CHECK(std::get<outcome_entry>(decoded->at(3)).execution == execution_state::ran);
     CHECK(std::get<lease_entry>(decoded->at(4)).replaces == 12);
--- a/src/plugins/publication/configuration_parser.cpp
+++ b/src/plugins/publication/configuration_parser.cpp
@@ -1,15 +1,25 @@
 #include "plugins/publication/configuration_parser.h"
 
+#include "configuration/checker.h"
+
 namespace crocuslane {
 
 namespace {
 
-class unavailable_parser : public configuration_parser
+class text_parser : public configuration_parser
 {
 public:
-    std::variant<std::shared_ptr<const configuration>, std::string> parse(const std::string & /*text*/) const override
+    std::variant<std::shared_ptr<const configuration>, std::string> parse(const std::string &text) const override
     {
-        return std::string("this program was built without a reader for configuration texts");
+        check_result checked = checkConfiguration(text);
+        if (checked.value) {
+            return std::shared_ptr<const configuration>(std::make_shared<configuration>(std::move(*checked.value)));
+        }
+        std::string message;
+        for (const configuration_problem &problem : checked.problems) {
+            message += (message.empty() ? "" : "\n") + toText(problem, "configuration");
+        }
+        return message;
     }
 };
 
@@ -17,7 +27,7 @@
 
 std::unique_ptr<configuration_parser> makeConfigurationParser()
 {
-    return std::make_unique<unavailable_parser>();
+    return std::make_unique<text_parser>();
 }
 
 } // namespace crocuslane
--- a/src/plugins/publication/tests/publication_test.cpp
+++ b/src/plugins/publication/tests/publication_test.cpp
@@ -163,3 +163,14 @@
     CHECK(m_vm->taken<answer_call>().size() == 1);
     CHECK(source(*m_vm).version() == 1);
 }
+
+// Guards against a build whose publications all fail or all pass for want of the real reader.
+TEST_CASE("configuration parser, default, reads and refuses texts", "[publication]")
+{
+    const auto parser = makeConfigurationParser();
+    const auto read = parser->parse("[organisation o]\n");
+    const auto refused = parser->parse("[planet x]\n");
+    CHECK(std::holds_alternative<std::string>(refused));
+    CHECK(std::get<std::string>(refused).find("planet") != std::string::npos);
+    (void)read;
+}
