--- a/src/plugins/requests/model_flow.cpp
+++ b/src/plugins/requests/model_flow.cpp
@@ -340,6 +340,11 @@
     if (!run) {
         return;
     }
+    if (finished.usage.outputTokens > run->nextIndex) {
+        // The end of the answer was lost on the way.
+        failAttempt(finished.attempt, attempt_failure::connection_lost, actions);
+        return;
+    }
     cancelAttempts(*run, finished.attempt, actions);
     const attempt attempt = run->attempts.front();
     const bool isWeak = !hasForwarded(*run) && run->request.resumeFrom == 0;
