--- /dev/null
+++ b/measurements/harness/report.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "harness/statistics.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace crocuslane {
+
+struct measure_options {
+    std::uint64_t firstSeed = 1;
+    /// Fewer seeds and shorter runs.
+    bool isQuick = false;
+    bool isPlotting = false;
+
+    std::vector<std::uint64_t> seeds(unsigned full, unsigned quick) const;
+};
+
+/// Rows of one measurement: a policy, and figures over the seeds.
+class report_table
+{
+public:
+    report_table(std::string name, std::vector<std::string> columns);
+
+    void addRow(const std::string &policy, const std::vector<std::vector<double>> &figuresBySeed);
+    void print() const;
+    /// Writes NAME.svg with the median of the first column per policy.
+    void plot() const;
+
+private:
+    struct row {
+        std::string policy;
+        std::vector<spread> figures;
+    };
+
+    std::string m_name;
+    std::vector<std::string> m_columns;
+    std::vector<row> m_rows;
+};
+
+/// Outcome of one measurement; printed as its last line.
+struct measure_result {
+    std::string name;
+    double ratio = 0.0;
+    double target = 0.0;
+    /// Further targets of the measurement that were missed, in words.
+    std::vector<std::string> missed;
+};
+
+void printResult(const measure_result &result);
+
+} // namespace crocuslane
--- /dev/null
+++ b/measurements/measure/main.cpp
@@ -0,0 +1,80 @@
+#include "measure/measurement.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/core.h>
+
+#include <iostream>
+#include <map>
+
+namespace crocuslane {
+
+namespace {
+
+// A function-local object, because registrars in other files run before the globals of this one may be initialized.
+std::map<std::string, measure_function> &measurements()
+{
+    static std::map<std::string, measure_function> registered;
+    return registered;
+}
+
+int run(const std::string &name, const measure_options &options)
+{
+    std::vector<measure_result> results;
+    for (const auto &[known, measure] : measurements()) {
+        if (name == "all" || name == known) {
+            results.push_back(measure(options));
+            printResult(results.back());
+        }
+    }
+    if (results.empty()) {
+        std::string names = "all";
+        for (const auto &[known, measure] : measurements()) {
+            names += ", " + known;
+        }
+        fmt::print(stderr, "unknown measurement {}; known: {}\n", name, names);
+        return 2;
+    }
+    if (name == "all") {
+        for (const measure_result &result : results) {
+            printResult({result.name, result.ratio, result.target, {}});
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+measurement_registrar::measurement_registrar(const char *name, measure_function run)
+{
+    measurements()[name] = run;
+}
+
+} // namespace crocuslane
+
+int main(int argumentCount, char **arguments)
+{
+    namespace po = boost::program_options;
+    crocuslane::measure_options options;
+    std::string name;
+    po::options_description visible("crocuslane-measure NAME");
+    visible.add_options()("help", "show this text")("name", po::value(&name)->required(), "measurement, or all")(
+        "seed", po::value(&options.firstSeed)->default_value(1), "first seed")(
+        "quick", po::bool_switch(&options.isQuick), "fewer seeds, shorter runs")(
+        "plot", po::bool_switch(&options.isPlotting), "write SVG charts into the working directory");
+    po::positional_options_description positional;
+    positional.add("name", 1);
+    try {
+        po::variables_map values;
+        po::store(po::command_line_parser(argumentCount, arguments).options(visible).positional(positional).run(),
+                  values);
+        if (values.count("help") > 0) {
+            std::cout << visible;
+            return 0;
+        }
+        po::notify(values);
+        return crocuslane::run(name, options);
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "{}\n", error.what());
+        return 2;
+    }
+}
