Read the daemon's settings from the checked table

Cause: the first daemon read its settings without checks. Ruled out: secrets in the settings file; keys are read from files of their own, with built-in keys in development only. Before: a missing key ended in an exception.

--- a/measurements/harness/simulation.cpp
+++ b/measurements/harness/simulation.cpp
@@ -573,6 +573,7 @@
                                     vm_role::model,
                                     m_deployment.service,
                                     "address-" + runner.location.id,
+                                    "",
                                     runner.location.availabilityZone,
                                     runner.location.region,
                                     backend_state::live,
--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -58,7 +58,7 @@
                [](const std::string & /*request*/, std::int64_t /*since*/) { return std::string(R"({"events":[]})"); },
                [this] { return metricsText(); }})
         , callers(clock, owner, operators, fmt::format("{}-{:x}", settings.node.id.value(), settings.node.incarnation))
-        , server(loop, callers, settings.bodyLimit)
+        , server(loop, callers, {settings.bodyLimit, settings.connectionLimit})
         , logClient(loop, http, clock, owner, settings.logServiceAddress)
         , platform(loop, http, owner, {settings.vmListAddress, settings.ratingServiceAddress})
         , backends(http, owner)
--- a/src/apps/crocuslaned/entry_node.h
+++ b/src/apps/crocuslaned/entry_node.h
@@ -28,6 +28,7 @@
         /// SHA-256 of the key that may publish the first configuration, hexadecimal; empty for none.
         std::string bootstrapKeyHash;
         std::size_t bodyLimit = 0;
+        std::size_t connectionLimit = 10'000;
         duration freshnessLimit = std::chrono::seconds(6);
         duration logRetention = std::chrono::hours(24);
     };
--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -1,68 +1,107 @@
+#include "base/digest.h"
 #include "base/logger.h"
-#include "base/random_source.h"
+#include "configuration/settings.h"
 #include "entry_node.h"
 #include "net/event_loop.h"
 #include "net/net_error.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <boost/program_options.hpp>
-#include <boost/property_tree/ini_parser.hpp>
+#include <boost/leaf/result.hpp>
 #include <fmt/core.h>
 
-#include <iostream>
+#include <fstream>
+#include <optional>
+#include <sstream>
 
-namespace options = boost::program_options;
+namespace crocuslane {
 
 namespace {
 
-constexpr int exitUsage = 2;
 constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+constexpr std::string_view developmentSessionKey = "development-session-key";
+constexpr std::string_view developmentPeerKey = "development-peer-key";
+constexpr std::string_view developmentOperatorKey = "dev-operator";
 
-} // namespace
-
-int main(int argumentCount, char **arguments)
+/// Nothing when the file can't be read or is empty.
+std::optional<std::string> readKeyFile(const std::string &path)
 {
-    using namespace crocuslane;
-    options::options_description description("Options");
-    description.add_options()("help", "print this help")("settings", options::value<std::string>(), "settings file");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argumentCount, arguments, description), values);
-    } catch (const options::error &error) {
-        fmt::print(stderr, "crocuslaned: {}\n", error.what());
-        return exitUsage;
+    std::ifstream file(path);
+    std::stringstream content;
+    content << file.rdbuf();
+    std::string key = content.str();
+    while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) {
+        key.pop_back();
     }
-    if (values.contains("help") || !values.contains("settings")) {
-        std::cout << "Usage: crocuslaned --settings FILE\n" << description;
-        return values.contains("help") ? 0 : exitUsage;
+    return key.empty() ? std::nullopt : std::optional(std::move(key));
+}
+
+/// A built-in key is used in development only, where no file is named.
+std::optional<std::string> loadKey(const std::string &path, bool isDevelopment, std::string_view developmentKey)
+{
+    if (path.empty()) {
+        return isDevelopment ? std::optional(std::string(developmentKey)) : std::nullopt;
     }
-    boost::property_tree::ptree tree;
-    boost::property_tree::read_ini(values["settings"].as<std::string>(), tree);
+    return readKeyFile(path);
+}
 
+std::optional<entry_node::settings> makeNodeSettings(const daemon_settings &given, const clock &clock, logger &log)
+{
+    const security_settings &security = given.security;
+    const std::optional<std::string> sessionKey =
+        loadKey(security.sessionKey, security.isDevelopment, developmentSessionKey);
+    const std::optional<std::string> peerKey = loadKey(security.peerKey, security.isDevelopment, developmentPeerKey);
+    if (!sessionKey || !peerKey) {
+        log.write(log_level::error,
+                  "key_file_unreadable",
+                  {{"setting", sessionKey ? "security.peer_key" : "security.session_key"},
+                   {"file", sessionKey ? security.peerKey : security.sessionKey}});
+        return std::nullopt;
+    }
     entry_node::settings settings;
-    settings.node.id = vm_id(tree.get<std::string>("node.id"));
-    settings.node.availabilityZone = tree.get<std::string>("node.availability_zone");
-    settings.node.region = tree.get<std::string>("node.region");
-    settings.node.callerAddress = tree.get<std::string>("node.caller_address");
-    settings.node.peerAddress = tree.get<std::string>("node.peer_address");
-    settings.logServiceAddress = tree.get<std::string>("platform.log_service");
-    settings.vmListAddress = tree.get<std::string>("platform.vm_list");
-    settings.ratingServiceAddress = tree.get<std::string>("platform.rating_service", "");
-    settings.sessionKey = tree.get<std::string>("security.session_key");
-    settings.peerKey = tree.get<std::string>("security.peer_key");
-    settings.bootstrapKeyHash = tree.get<std::string>("security.bootstrap_operator_key_hash", "");
-    settings.bodyLimit = tree.get<std::size_t>("limits.body_bytes", 1U << 20);
+    settings.node = {vm_id(given.node.id),
+                     static_cast<std::uint64_t>(unixMilliseconds(clock.systemNow())),
+                     given.node.availabilityZone,
+                     given.node.region,
+                     given.node.callerAddress,
+                     given.node.peerAddress};
+    settings.logServiceAddress = given.platform.logService;
+    settings.vmListAddress = given.platform.vmList;
+    settings.ratingServiceAddress = given.platform.ratingService;
+    settings.sessionKey = *sessionKey;
+    settings.peerKey = *peerKey;
+    settings.bootstrapKeyHash = security.bootstrapKeyHash;
+    if (settings.bootstrapKeyHash.empty() && security.isDevelopment) {
+        settings.bootstrapKeyHash = sha256Hex(developmentOperatorKey);
+    }
+    settings.bodyLimit = given.limits.bodyBytes;
+    settings.connectionLimit = given.limits.connections;
+    settings.freshnessLimit = fromSeconds(given.limits.freshnessSeconds);
+    return settings;
+}
 
+int run(const daemon_settings &given)
+{
     const real_clock clock;
-    settings.node.incarnation = static_cast<std::uint64_t>(unixMilliseconds(clock.systemNow()));
-    logger log(clock, settings.node.id.value(), log_level::info);
+    logger log(clock, given.node.id, given.logLevel);
+    const std::optional<entry_node::settings> settings = makeNodeSettings(given, clock, log);
+    if (!settings) {
+        return exitFailure;
+    }
+    if (given.security.isDevelopment) {
+        log.write(log_level::warning,
+                  "development_mode",
+                  {{"detail", "no TLS; built-in keys where no file is named; not for production"}});
+    }
     event_loop loop;
-    entry_node node(settings, clock, loop, log);
+    entry_node node(*settings, clock, loop, log);
     loop.setStopSignalHandler([&node] { node.deliver(stop_requested{}); });
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<int> {
             BOOST_LEAF_CHECK(node.start());
-            log.write(log_level::info, "started", {{"address", settings.node.callerAddress}});
+            log.write(log_level::info,
+                      "started",
+                      {{"caller_address", given.node.callerAddress}, {"peer_address", given.node.peerAddress}});
             loop.run();
             return 0;
         },
@@ -70,5 +109,39 @@
             log.write(log_level::error, "start_failed", {{"detail", error.detail}});
             return exitFailure;
         },
+        [&log] {
+            log.write(log_level::error, "start_failed", {});
+            return exitFailure;
+        });
+}
+
+} // namespace
+
+} // namespace crocuslane
+
+int main(int argumentCount, char **arguments)
+{
+    using namespace crocuslane;
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int> {
+            BOOST_LEAF_AUTO(commandLine,
+                            parseDaemonCommandLine(std::vector<std::string>(arguments + 1, arguments + argumentCount)));
+            if (commandLine.wantsHelp) {
+                fmt::print("{}", daemonHelp());
+                return 0;
+            }
+            if (commandLine.wantsVersion) {
+                fmt::print("crocuslaned {}\n", CROCUSLANE_VERSION);
+                return 0;
+            }
+            BOOST_LEAF_AUTO(settings, loadSettings(commandLine));
+            return run(settings);
+        },
+        [](const configuration_error &error) {
+            for (const configuration_problem &problem : error.problems) {
+                fmt::print(stderr, "crocuslaned: {}\n", toText(problem, "settings"));
+            }
+            return exitUsage;
+        },
         [] { return exitFailure; });
 }
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -175,10 +175,10 @@
 } // namespace
 
 struct http_server::private_data : public ACE_Event_Handler {
-    private_data(event_loop &loop, http_handler &handler, std::size_t bodyLimit)
+    private_data(event_loop &loop, http_handler &handler, http_server_limits limits)
         : loop(loop)
         , handler(handler)
-        , bodyLimit(bodyLimit)
+        , limits(limits)
     {
     }
 
@@ -241,7 +241,7 @@
         }
         connection_exchange &exchange = **holder;
         if (*dataSize > 0) {
-            if (exchange.content.body.size() + *dataSize > bodyLimit) {
+            if (exchange.content.body.size() + *dataSize > limits.bodyBytes) {
                 exchange.content.isOversized = true;
                 exchange.content.body.clear();
             } else if (!exchange.content.isOversized) {
@@ -298,7 +298,7 @@
 
     event_loop &loop;
     http_handler &handler;
-    std::size_t bodyLimit;
+    http_server_limits limits;
     std::set<connection_exchange *> open;
     MHD_Daemon *daemon = nullptr;
     int epollDescriptor = -1;
@@ -307,8 +307,8 @@
     bool isRunScheduled = false;
 };
 
-http_server::http_server(event_loop &loop, http_handler &handler, std::size_t bodyLimit)
-    : d(std::make_unique<private_data>(loop, handler, bodyLimit))
+http_server::http_server(event_loop &loop, http_handler &handler, http_server_limits limits)
+    : d(std::make_unique<private_data>(loop, handler, limits))
 {
 }
 
@@ -341,6 +341,8 @@
                                  d.get(),
                                  MHD_OPTION_CONNECTION_TIMEOUT,
                                  idleConnectionTimeoutSeconds,
+                                 MHD_OPTION_CONNECTION_LIMIT,
+                                 static_cast<unsigned>(d->limits.connections),
                                  MHD_OPTION_LISTENING_ADDRESS_REUSE,
                                  1U,
                                  MHD_OPTION_END);
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -40,6 +40,11 @@
     virtual void finish() = 0;
 };
 
+struct http_server_limits {
+    std::size_t bodyBytes = 0;
+    std::size_t connections = 0;
+};
+
 class http_handler
 {
 public:
@@ -53,7 +58,7 @@
 class http_server
 {
 public:
-    http_server(event_loop &loop, http_handler &handler, std::size_t bodyLimit);
+    http_server(event_loop &loop, http_handler &handler, http_server_limits limits);
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -17,7 +17,7 @@
 {
 public:
     http_fixture()
-        : m_server(m_loop, *this, bodyLimit)
+        : m_server(m_loop, *this, {bodyLimit, 100})
         , m_client(m_loop)
     {
         // A port that is taken by another test run is passed over.
