Add measurement crest

Six kernels with the real plug-ins membership and admission through a four-fold swing within 2 s, with one group at ten times its limit, and with the VM cut off that this group uses most; against admission per VM and none. The simulation now carries peer connections, and caller groups can differ.

--- a/measurements/harness/fixed_services.cpp
+++ b/measurements/harness/fixed_services.cpp
@@ -2,13 +2,21 @@
 
 namespace crocuslane {
 
-fixed_services::fixed_services(const workload_parameters &workload, std::vector<version_id> versions)
+fixed_services::fixed_services(const workload_parameters &workload,
+                               std::vector<version_id> versions,
+                               const std::vector<caller_group_settings> &groups)
     : m_versions(std::move(versions))
 {
     auto made = std::make_shared<configuration>();
     const caller_group_id group("all/callers");
     made->groupsByKeyHash["key"] = group;
     made->callerGroups[group] = {group, organisation_id("all"), 1e9, 1'000'000'000, {"key"}, false};
+    for (const caller_group_settings &limited : groups) {
+        made->callerGroups[limited.id] = limited;
+        for (const std::string &key : limited.keyHashes) {
+            made->groupsByKeyHash[key] = limited.id;
+        }
+    }
     for (const kind_parameters &kind : workload.kinds) {
         kind_settings settings;
         settings.id = kind_id(kind.id);
--- a/measurements/harness/fixed_services.h
+++ b/measurements/harness/fixed_services.h
@@ -11,8 +11,10 @@
 class fixed_services : public plugin, public configuration_source, public version_chooser
 {
 public:
-    /// One caller group, with key "key", may use all versions.
-    fixed_services(const workload_parameters &workload, std::vector<version_id> versions);
+    /// One caller group without limits, with key "key", and @p groups may use all versions.
+    fixed_services(const workload_parameters &workload,
+                   std::vector<version_id> versions,
+                   const std::vector<caller_group_settings> &groups = {});
 
     std::string_view name() const override;
     void initialize(plugin_context &context) override;
--- a/measurements/harness/simulation.cpp
+++ b/measurements/harness/simulation.cpp
@@ -1,10 +1,13 @@
 #include "harness/simulation.h"
 
 #include "harness/fixed_services.h"
+#include "services/member_view.h"
 #include "services/runner_picker.h"
 
 #include <algorithm>
+#include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace crocuslane {
 
@@ -79,6 +82,9 @@
     steady_time timerAt = steady_time::max();
     std::vector<std::size_t> watched;
     std::vector<std::uint64_t> cacheSequence;
+    /// Entry VMs with an open connection to this one.
+    std::set<std::size_t> peers;
+    bool isCut = false;
 };
 
 struct runner_record {
@@ -115,7 +121,9 @@
             vm.location = location;
             vm.random = std::make_unique<seeded_random>(seed * 100 + m_vms.size());
             vm.cacheSequence.assign(m_runners.size(), 1);
-            node_identity node{vm_id(location.id), 1, location.availabilityZone, location.region, {}, {}};
+            node_identity node{
+                vm_id(location.id), 1, location.availabilityZone, location.region, {}, peerAddress(location)};
+            m_vmIndexes[location.id] = m_vms.size();
             vm.decisions = std::make_unique<kernel>(
                 kernel::environment{m_clock, *vm.random, std::move(node), {"key"}, m_timeline});
             setup(*vm.decisions, m_vms.size());
@@ -168,6 +176,16 @@
         m_runners[runner].changedAt = now();
     }
 
+    static std::string peerAddress(const place &location)
+    {
+        return "peer-" + location.id;
+    }
+
+    void setCut(std::size_t vm, bool isCut)
+    {
+        m_vms[vm].isCut = isCut;
+    }
+
     void at(duration time, std::function<void()> change)
     {
         m_changes.push_back(std::move(change));
@@ -276,10 +294,13 @@
             exchange(next.subject);
             schedule(now() + m_deployment.exchangeInterval, item_kind::exchange, next.subject);
             return;
-        case item_kind::change:
-            m_changes[next.subject]();
+        case item_kind::change: {
+            // Taken out first: it may schedule further changes, which moves the others.
+            const std::function<void()> change = std::exchange(m_changes[next.subject], {});
+            change();
             return;
         }
+        }
     }
 
     void arrive(std::size_t index)
@@ -290,7 +311,7 @@
         }
         model_request received;
         received.request = request.id;
-        received.callerKeyHash = "key";
+        received.callerKeyHash = request.callerKeyHash;
         received.service = m_deployment.service;
         received.kind = kind_id(m_workload.kinds[request.kind].id);
         received.promptTokens = request.promptTokens;
@@ -390,6 +411,42 @@
         }
     }
 
+    duration peerDelay(std::size_t first, std::size_t second) const
+    {
+        return m_vms[first].location.region == m_vms[second].location.region ? m_deployment.delayInRegion
+                                                                             : m_deployment.delayBetweenRegions;
+    }
+
+    void on(std::size_t vm, const connect_peer &connect)
+    {
+        const std::size_t other = m_vmIndexes.at(connect.peer.value());
+        at(now() - m_start + peerDelay(vm, other), [this, vm, other] {
+            if (m_vms[vm].isCut || m_vms[other].isCut) {
+                handle(vm, peer_disconnected{vm_id(m_vms[other].location.id)});
+                return;
+            }
+            m_vms[vm].peers.insert(other);
+            m_vms[other].peers.insert(vm);
+            handle(vm, peer_connected{vm_id(m_vms[other].location.id)});
+            handle(other, peer_connected{vm_id(m_vms[vm].location.id)});
+        });
+    }
+
+    void on(std::size_t vm, const disconnect_peer &disconnect)
+    {
+        m_vms[vm].peers.erase(m_vmIndexes.at(disconnect.peer.value()));
+    }
+
+    void on(std::size_t vm, const send_to_peer &send)
+    {
+        const std::size_t other = m_vmIndexes.at(send.peer.value());
+        at(now() - m_start + peerDelay(vm, other), [this, vm, other, message = send.message] {
+            if (m_vms[other].peers.contains(vm) && !m_vms[vm].isCut && !m_vms[other].isCut) {
+                handle(other, peer_message_received{vm_id(m_vms[vm].location.id), message});
+            }
+        });
+    }
+
     static std::uint64_t global(std::size_t vm, attempt_number attempt)
     {
         return (static_cast<std::uint64_t>(vm + 1) << attemptBits) | attempt;
@@ -579,12 +636,24 @@
                                     backend_state::live,
                                     true});
         }
+        for (const vm_state &entry : m_vms) {
+            list.entries.push_back({entry.location.id,
+                                    vm_role::entry,
+                                    {},
+                                    "address-" + entry.location.id,
+                                    peerAddress(entry.location),
+                                    entry.location.availabilityZone,
+                                    entry.location.region,
+                                    backend_state::live,
+                                    false});
+        }
         handle(vm, std::move(list));
     }
 
     void exchange(std::size_t vm)
     {
-        if (!m_vms[vm].picker) {
+        // The plug-in membership exchanges use by itself.
+        if (!m_vms[vm].picker || m_vms[vm].decisions->services().tryFind<member_view>()) {
             return;
         }
         const vm_id from(m_vms[vm].location.id);
@@ -601,6 +670,7 @@
     const std::vector<simulated_request> *m_requests = nullptr;
     std::unordered_map<request_id, std::size_t> m_requestIndexes;
     std::unordered_map<std::string, std::size_t> m_runnerIndexes;
+    std::unordered_map<std::string, std::size_t> m_vmIndexes;
     std::unordered_map<std::uint64_t, attempt_record> m_attempts;
     std::vector<std::function<void()>> m_changes;
     std::priority_queue<item, std::vector<item>, std::greater<>> m_items;
@@ -637,6 +707,16 @@
     m_implementation->recoverRunner(runner);
 }
 
+void simulation::cutVm(std::size_t vm)
+{
+    m_implementation->setCut(vm, true);
+}
+
+void simulation::reconnectVm(std::size_t vm)
+{
+    m_implementation->setCut(vm, false);
+}
+
 engine_model &simulation::engine(std::size_t runner)
 {
     return *m_implementation->m_runners[runner].engine;
--- a/measurements/harness/simulation.h
+++ b/measurements/harness/simulation.h
@@ -50,6 +50,10 @@
     void failRunner(std::size_t runner);
     void recoverRunner(std::size_t runner);
 
+    /// Cuts an entry VM off from the other entry VMs, without a word to either side.
+    void cutVm(std::size_t vm);
+    void reconnectVm(std::size_t vm);
+
     engine_model &engine(std::size_t runner);
     kernel &vm(std::size_t vm);
     std::size_t runnerCount() const;
--- a/measurements/harness/workload.h
+++ b/measurements/harness/workload.h
@@ -46,6 +46,8 @@
     std::size_t vm = 0;
     std::size_t kind = 0;
     unsigned organisation = 0;
+    /// Names the caller group, as in fixed_services.
+    std::string callerKeyHash = "key";
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0;
     std::uint64_t contentHash = 0;
--- /dev/null
+++ b/measurements/measure/crest.cpp
@@ -0,0 +1,287 @@
+#include "measure/measurement.h"
+
+#include "harness/admission_policies.h"
+#include "harness/fixed_services.h"
+#include "harness/simulation.h"
+
+#include <algorithm>
+
+namespace crocuslane {
+
+namespace {
+
+constexpr double target = 1.2;
+constexpr double leastGoodput = 0.95;
+/// Of one exchange interval's worth over a window of five seconds.
+constexpr double highestLimitUse = 1.1;
+
+constexpr double usualUtilization = 0.35;
+constexpr double swingFactor = 4.0;
+constexpr double abuseUtilization = 0.6;
+constexpr double abuseFactor = 10.0;
+/// A group's limit against its mean rate.
+constexpr double limitHeadroom = 1.5;
+constexpr std::size_t abusingGroup = 1;
+/// Callers keep the address that they were advised: this part of a group's requests goes to one VM.
+constexpr double homeVmShare = 0.7;
+constexpr std::chrono::seconds rise{2};
+constexpr std::chrono::seconds drain{20};
+/// Counted for a request that got no answer.
+constexpr double missingSeconds = 60.0;
+constexpr int limitWindowSeconds = 5;
+
+struct phases {
+    std::chrono::seconds change{20};
+    std::chrono::seconds cut{40};
+    std::chrono::seconds end{60};
+};
+
+struct scenario {
+    deployment where;
+    workload_parameters mix;
+    phases times;
+    double requestsPerSecond = 0.0;
+    std::vector<caller_group_settings> groups;
+};
+
+struct policy {
+    std::string name;
+    admission_policy admission;
+};
+
+const std::vector<policy> policies{
+    {"product", admission_policy::product}, {"per VM", admission_policy::per_vm}, {"none", admission_policy::none}};
+
+caller_group_id groupId(std::size_t organisation)
+{
+    return caller_group_id("organisation-" + std::to_string(organisation) + "/callers");
+}
+
+std::string keyOf(std::size_t organisation)
+{
+    return "key-" + std::to_string(organisation);
+}
+
+/// Requests at a constant rate from the change on or over the whole run.
+std::vector<simulated_request>
+requestsAt(const scenario &scenario, double perSecond, std::uint64_t seed, const std::string &prefix)
+{
+    workload_parameters parameters = scenario.mix;
+    parameters.requestsPerSecond = perSecond;
+    parameters.length = scenario.times.end;
+    std::vector<simulated_request> requests = makeWorkload(parameters, scenario.where, seed);
+    for (simulated_request &request : requests) {
+        request.id = request_id(prefix + request.id.value());
+    }
+    return requests;
+}
+
+void assignCallers(const scenario &scenario, std::vector<simulated_request> &requests, std::uint64_t seed)
+{
+    seeded_random random(seed);
+    const std::size_t vms = scenario.where.vms.size();
+    for (simulated_request &request : requests) {
+        request.callerKeyHash = keyOf(request.organisation);
+        request.vm = random.unit() < homeVmShare ? request.organisation % vms : random.below(vms);
+    }
+}
+
+void merge(std::vector<simulated_request> &requests, std::vector<simulated_request> more)
+{
+    requests.insert(requests.end(), more.begin(), more.end());
+    std::stable_sort(requests.begin(), requests.end(), [](const auto &left, const auto &right) {
+        return left.arrival < right.arrival;
+    });
+}
+
+/// Four times the usual load, reached within two seconds.
+std::vector<simulated_request> swingRequests(const scenario &scenario, std::uint64_t seed)
+{
+    std::vector<simulated_request> requests = requestsAt(scenario, scenario.requestsPerSecond, seed, "");
+    std::vector<simulated_request> more =
+        requestsAt(scenario, (swingFactor - 1.0) * scenario.requestsPerSecond, seed + 1'000'000, "s");
+    seeded_random random(seed);
+    std::erase_if(more, [&](const simulated_request &request) {
+        return random.unit() > toSeconds(request.arrival - scenario.times.change) / toSeconds(rise);
+    });
+    merge(requests, std::move(more));
+    assignCallers(scenario, requests, seed);
+    return requests;
+}
+
+/// One group sends ten times its limit, spread over all VMs in the same way as before.
+std::vector<simulated_request> abuseRequests(const scenario &scenario, bool isAbused, std::uint64_t seed)
+{
+    std::vector<simulated_request> requests = requestsAt(scenario, scenario.requestsPerSecond, seed, "");
+    if (isAbused) {
+        const double perSecond = abuseFactor * scenario.groups[abusingGroup].requestsPerSecond;
+        std::vector<simulated_request> more = requestsAt(scenario, perSecond, seed + 1'000'000, "a");
+        std::erase_if(more, [&](const simulated_request &request) { return request.arrival < scenario.times.change; });
+        for (simulated_request &request : more) {
+            request.organisation = abusingGroup;
+        }
+        merge(requests, std::move(more));
+    }
+    assignCallers(scenario, requests, seed);
+    return requests;
+}
+
+plugin_setup setupOf(const scenario &scenario, const policy &policy, grant_counts &counts)
+{
+    return [&scenario, policy, &counts](kernel &target, std::size_t /*vm*/) {
+        target.add(std::make_unique<fixed_services>(scenario.mix, std::vector{version_id("small@1")}, scenario.groups));
+        target.add(makePlugin("routing"));
+        addAdmission(target, policy.admission, scenario.where.vms.size(), counts);
+    };
+}
+
+scenario makeScenario(const deployment &where, const workload_parameters &mix, double utilization, double limitFactor)
+{
+    scenario made{where, mix, {}, 0.0, {}};
+    setUtilization(made.mix, where, utilization);
+    made.requestsPerSecond = made.mix.requestsPerSecond;
+    const std::vector<simulated_request> sample = requestsAt(made, 200.0, 7, "");
+    std::vector<double> counts(made.mix.organisations, 0.0);
+    for (const simulated_request &request : sample) {
+        counts[request.organisation] += 1.0;
+    }
+    for (std::size_t organisation = 0; organisation < counts.size(); ++organisation) {
+        caller_group_settings group;
+        group.id = groupId(organisation);
+        group.organisation = organisation_id("organisation-" + std::to_string(organisation));
+        group.requestsPerSecond =
+            limitFactor * made.requestsPerSecond * counts[organisation] / static_cast<double>(sample.size());
+        group.tokensInFlight = 1'000'000'000;
+        group.keyHashes = {keyOf(organisation)};
+        made.groups.push_back(std::move(group));
+    }
+    return made;
+}
+
+/// Part of [from, until) in which an answer was generated; one that still runs ends with the run.
+double overlapShare(const request_outcome &answer, duration runEnd, duration from, duration until)
+{
+    const duration begin = answer.arrival + *answer.firstToken;
+    const duration end = answer.end ? answer.arrival + *answer.end : runEnd;
+    if (begin >= end) {
+        return begin >= from && begin < until ? 1.0 : 0.0;
+    }
+    const duration covered = std::min(end, until) - std::max(begin, from);
+    return std::max(0.0, toSeconds(covered) / toSeconds(end - begin));
+}
+
+/// Work on answers without an error during the peak, against the work that full engines do in that time. Work is the
+/// time of an engine that runs one request.
+double goodput(const scenario &scenario, const simulation &run)
+{
+    const engine_settings &engine = scenario.where.engine;
+    const duration from = scenario.times.change + 2 * rise;
+    const duration until = scenario.times.end;
+    double work = 0.0;
+    for (const request_outcome &answer : run.outcomes()) {
+        if (answer.error || !answer.firstToken) {
+            continue;
+        }
+        // The usage of an answer that still runs is not known; its prompt is left out.
+        const double prompt = answer.usage.promptTokens - static_cast<double>(answer.usage.cachedPromptTokens);
+        work += overlapShare(answer, run.elapsed(), from, until)
+            * (toSeconds(engine.tokenTime) * answer.tokens + toSeconds(engine.prefillTime) * prompt);
+    }
+    const double perRunner = engine.slots / (1.0 + engine.slowdownPerRequest * (engine.slots - 1.0));
+    return work / (perRunner * static_cast<double>(scenario.where.runners.size()) * toSeconds(until - from));
+}
+
+struct abuse_figures {
+    double p99 = 0.0;
+    /// Granted within the limit of the abusing group, against the limit: mean, and highest within five seconds.
+    double meanLimitUse = 0.0;
+    double highestLimitUse = 0.0;
+};
+
+abuse_figures
+measureAbuse(const scenario &scenario, const policy &policy, bool isAbused, bool isCut, std::uint64_t seed)
+{
+    grant_counts counts;
+    const std::vector<simulated_request> requests = abuseRequests(scenario, isAbused, seed);
+    simulation run(scenario.where, scenario.mix, setupOf(scenario, policy, counts), seed);
+    if (isCut) {
+        // The VM that most requests of the abusing group go to.
+        run.at(scenario.times.cut, [&run] { run.cutVm(abusingGroup); });
+    }
+    run.run(requests, scenario.times.end + drain);
+    std::vector<double> seconds;
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const request_outcome &answer = run.outcomes()[index];
+        if (answer.kind == 0 && requests[index].organisation != abusingGroup
+            && answer.arrival >= scenario.times.change) {
+            seconds.push_back(answer.end && !answer.error ? toSeconds(*answer.end) : missingSeconds);
+        }
+    }
+    const caller_group_settings &abusing = scenario.groups[abusingGroup];
+    const auto from = static_cast<int>((isCut ? scenario.times.cut : scenario.times.change + 2 * rise).count());
+    const auto until = static_cast<int>(scenario.times.end.count());
+    return {quantile(seconds, 0.99),
+            counts.meanRate(abusing.id, from, until) / abusing.requestsPerSecond,
+            counts.highestRate(abusing.id, from, until, limitWindowSeconds) / abusing.requestsPerSecond};
+}
+
+measure_result measureCrest(const measure_options &options)
+{
+    measure_result result{"crest", 0.0, target, {}};
+    for (const auto &[where, mix] :
+         {std::pair(rimalDeployment(), rimalWorkload()), std::pair(ironworksDeployment(), ironworksWorkload())}) {
+        const scenario swing = makeScenario(where, mix, usualUtilization, limitHeadroom * swingFactor);
+        const scenario abuse = makeScenario(where, mix, abuseUtilization, limitHeadroom);
+        report_table table("crest-" + where.name,
+                           {"p99 ratio",
+                            "goodput",
+                            "p99 ms",
+                            "p99 quiet ms",
+                            "limit use",
+                            "limit use 5 s",
+                            "cut: limit use",
+                            "cut: 5 s"});
+        for (const policy &policy : policies) {
+            std::vector<std::vector<double>> rows(8);
+            for (const std::uint64_t seed : options.seeds(20, 1)) {
+                grant_counts counts;
+                const std::vector<simulated_request> requests = swingRequests(swing, seed);
+                simulation run(swing.where, swing.mix, setupOf(swing, policy, counts), seed);
+                run.run(requests, swing.times.end + drain);
+                const abuse_figures quiet = measureAbuse(abuse, policy, false, false, seed);
+                const abuse_figures abused = measureAbuse(abuse, policy, true, false, seed);
+                const abuse_figures cut = measureAbuse(abuse, policy, true, true, seed);
+                rows[0].push_back(abused.p99 / quiet.p99);
+                rows[1].push_back(goodput(swing, run));
+                rows[2].push_back(abused.p99 * 1000.0);
+                rows[3].push_back(quiet.p99 * 1000.0);
+                rows[4].push_back(abused.meanLimitUse);
+                rows[5].push_back(abused.highestLimitUse);
+                rows[6].push_back(cut.meanLimitUse);
+                rows[7].push_back(cut.highestLimitUse);
+            }
+            table.addRow(policy.name, rows);
+            if (policy.admission != admission_policy::product) {
+                continue;
+            }
+            result.ratio = std::max(result.ratio, spreadOf(rows[0]).median);
+            if (spreadOf(rows[1]).median < leastGoodput) {
+                result.missed.push_back(where.name + ": useful answers below 0.95 of the capacity");
+            }
+            if (std::max(spreadOf(rows[5]).median, spreadOf(rows[7]).median) > highestLimitUse) {
+                result.missed.push_back(where.name + ": limit exceeded by more than one exchange interval's worth");
+            }
+        }
+        table.print();
+        if (options.isPlotting) {
+            table.plot();
+        }
+    }
+    return result;
+}
+
+const measurement_registrar autoRegistrar("crest", measureCrest);
+
+} // namespace
+
+} // namespace crocuslane
