--- a/standins/engine/engine_standin.cpp
+++ b/standins/engine/engine_standin.cpp
@@ -84,6 +84,9 @@
     : m_settings(std::move(settings))
     , m_engine(m_settings.engine, now())
 {
+    if (m_settings.engine.hasExternalLoads) {
+        m_nextDownloadCheck = now();
+    }
 }
 
 engine_standin::~engine_standin() = default;
@@ -440,7 +443,9 @@
         const std::string url = "http://" + m_settings.weightService + "/weights/" + wanted->value();
         m_download = std::async(std::launch::async, &download, url);
     }
-    m_nextDownloadCheck = m_settings.engine.hasExternalLoads ? now + downloadCheckInterval : steady_time::max();
+    if (m_settings.engine.hasExternalLoads) {
+        m_nextDownloadCheck = now + downloadCheckInterval;
+    }
 }
 
 void engine_standin::crash()
--- /dev/null
+++ b/standins/weights/weight_standin.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "http/standin.h"
+
+#include <list>
+#include <memory>
+
+namespace crocuslane {
+
+struct weight_standin_settings {
+    std::uint64_t versionBytes = 64U << 20U;
+    /// Over all transfers.
+    std::uint64_t bytesPerSecond = 64U << 20U;
+    std::uint32_t maximumTransfers = 4;
+};
+
+/// Weight store: `GET /weights/VERSION` at a limited rate; further transfers get 429.
+class weight_standin : public standin, public timed_source
+{
+public:
+    weight_standin(const clock &clock, const weight_standin_settings &settings);
+
+    void handle(const std::shared_ptr<standin_exchange> &exchange) override;
+    bool setFault(const std::string &key, const nlohmann::json &value) override;
+    void clearFaults() override;
+    void describeFaults(nlohmann::json &faults) const override;
+
+    steady_time nextTime() const override;
+    void advance(steady_time now) override;
+
+private:
+    struct transfer {
+        std::shared_ptr<standin_exchange> exchange;
+        std::uint64_t remaining = 0;
+    };
+
+    const clock &m_clock;
+    weight_standin_settings m_usual;
+    weight_standin_settings m_settings;
+    std::list<transfer> m_transfers;
+    steady_time m_next = steady_time::max();
+};
+
+} // namespace crocuslane
