--- a/src/libs/logstream/group_writer.cpp
+++ b/src/libs/logstream/group_writer.cpp
@@ -56,17 +56,6 @@
     return true;
 }
 
-std::optional<steady_time> group_writer::firstSentTime(entry_ticket ticket) const
-{
-    if (!m_inFlight
-        || std::none_of(m_inFlight->entries.begin(), m_inFlight->entries.end(), [ticket](const auto &entry) {
-               return entry.ticket == ticket;
-           })) {
-        return std::nullopt;
-    }
-    return m_inFlight->firstSent;
-}
-
 std::vector<entry_ticket> group_writer::complete()
 {
     std::vector<entry_ticket> tickets;
@@ -125,7 +114,6 @@
     m_waitingBytes -= bytes;
     next.recordId = record_id{m_stream + ":" + m_node.id.value(), m_node.incarnation, ++m_lastNumber}.toText();
     next.payload = encodeEntries(contents);
-    next.firstSent = now;
     next.retryTime = now;
     m_inFlight = std::move(next);
 }
--- a/src/libs/logstream/group_writer.h
+++ b/src/libs/logstream/group_writer.h
@@ -26,8 +26,6 @@
     entry_ticket add(log_entry entry, steady_time now);
     /// Takes back an entry; false when it may be in the log, or will be.
     bool withdraw(entry_ticket ticket);
-    /// When the entry was first sent; nothing before, or once its group is complete.
-    std::optional<steady_time> firstSentTime(entry_ticket ticket) const;
 
     /// Notes answers of the log service. Returns the tickets of entries that are now known to be in the log.
     std::vector<entry_ticket> handle(const event &event, steady_time now);
@@ -52,7 +50,6 @@
         std::string recordId;
         std::string payload;
         std::vector<waiting_entry> entries;
-        steady_time firstSent;
         bool isOutstanding = false;
         /// An answer was lost, so that the group may be in the log.
         bool mayBeInLog = false;
