--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -40,6 +40,11 @@
     virtual void finish() = 0;
 };
 
+struct http_server_limits {
+    std::size_t bodyBytes = 0;
+    std::size_t connections = 0;
+};
+
 class http_handler
 {
 public:
@@ -53,13 +58,15 @@
 class http_server
 {
 public:
-    http_server(event_loop &loop, http_handler &handler, std::size_t bodyLimit);
+    http_server(event_loop &loop, http_handler &handler, http_server_limits limits);
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
     /// @p address is "ip:port".
     boost::leaf::result<void> listen(const std::string &address);
+    /// True while a request is being read or its answer is being sent.
+    bool isBusy() const;
     /// Sends what was written outside of handleRequest(); call it after each step.
     void flush();
 
