Keep a time line of events in the daemon

Cause: operators must follow a request over all processes. Ruled out: a filter by the router's own id only; the caller's id is matched too. Before: /admin/timeline gave an empty list. After: it gives the ring of the process; builds, tests pass.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -15,6 +15,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "plugins/publication/publication_settings.h"
+#include "timeline/timeline_ring.h"
 
 #include <boost/leaf/error.hpp>
 #include <fmt/format.h>
@@ -29,13 +30,11 @@
 
 constexpr std::chrono::milliseconds stopCheckInterval{50};
 
-class discarding_timeline : public timeline_recorder
+/// Whether the id, as the caller or the router knows it, names the request.
+bool isNamed(const request_id &request, const std::string &id)
 {
-public:
-    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
-    {
-    }
-};
+    return request.value() == id || request.value().find('/' + id + '/') != std::string::npos;
+}
 
 } // namespace
 
@@ -47,6 +46,7 @@
         , log(log)
         , random(systemSeed())
         , hybridTime(clock)
+        , timeline(hybridTime, settings.node.id, settings.timelineEvents)
         , decisions({clock, random, settings.node, {settings.sessionKey}, timeline})
         , metrics(clock)
         , http(loop)
@@ -55,7 +55,7 @@
                owner,
                settings.node,
                settings.bootstrapKeyHash,
-               [](const std::string & /*request*/, std::int64_t /*since*/) { return std::string(R"({"events":[]})"); },
+               [this](const std::string &request, std::int64_t since) { return timelineText(request, since); },
                [this] { return metricsText(); }})
         , callers(clock, owner, operators, fmt::format("{}-{:x}", settings.node.id.value(), settings.node.incarnation))
         , server(loop, callers, {settings.bodyLimit, settings.connectionLimit})
@@ -71,6 +71,17 @@
         decisions.services().offer(publication);
     }
 
+    std::string timelineText(const std::string &id, std::int64_t sinceMilliseconds) const
+    {
+        nlohmann::json events = nlohmann::json::array();
+        for (const timeline_event &event : timeline.events({}, sinceMilliseconds)) {
+            if (id.empty() || isNamed(event.request, id)) {
+                events.push_back(toJson(event));
+            }
+        }
+        return nlohmann::json({{"events", std::move(events)}}).dump();
+    }
+
     std::string metricsText()
     {
         metrics.setPeerBytesSent(peers.bytesSent());
@@ -262,7 +273,7 @@
     logger &log;
     seeded_random random;
     hybrid_clock hybridTime;
-    discarding_timeline timeline;
+    timeline_ring timeline;
     publication_settings publication;
     kernel decisions;
     traffic_metrics metrics;
--- a/src/apps/crocuslaned/entry_node.h
+++ b/src/apps/crocuslaned/entry_node.h
@@ -29,6 +29,7 @@
         std::string bootstrapKeyHash;
         std::size_t bodyLimit = 0;
         std::size_t connectionLimit = 10'000;
+        std::size_t timelineEvents = 20'000;
         duration freshnessLimit = std::chrono::seconds(6);
         duration logRetention = std::chrono::hours(24);
     };
--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -76,6 +76,7 @@
     }
     settings.bodyLimit = given.limits.bodyBytes;
     settings.connectionLimit = given.limits.connections;
+    settings.timelineEvents = given.limits.timelineEvents;
     settings.freshnessLimit = fromSeconds(given.limits.freshnessSeconds);
     return settings;
 }
