Add the operators' command line

Cause: operators need to check, compare, publish and follow a text, and to see who causes an overload, without reading JSON by hand. A publication whose answer is lost is resolved by version and hash, and is repeated while the old version is in force: in log order only the first publication that replaces a version counts. Waiting for a lost answer only was ruled out, because a request dropped before its effect would never resolve.

--- /dev/null
+++ b/src/apps/crocuslane/publisher.cpp
@@ -0,0 +1,202 @@
+#include "publisher.h"
+
+#include "configuration/checker.h"
+#include "progress_display.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace crocuslane {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval{300};
+constexpr std::size_t namedVms = 4;
+
+} // namespace
+
+struct publisher::attempt {
+    std::optional<publication_answer> answer;
+    client_error error;
+};
+
+publisher::publisher(operator_client &client,
+                     command_environment &environment,
+                     progress_display &progress,
+                     publication_settings settings)
+    : m_client(client)
+    , m_environment(environment)
+    , m_progress(progress)
+    , m_settings(settings)
+{
+}
+
+publisher::attempt publisher::send(std::uint64_t replaced, const std::string &text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<attempt> {
+            BOOST_LEAF_AUTO(answer, m_client.publish(replaced, text));
+            return attempt{answer, {}};
+        },
+        [](const client_error &error) {
+            return attempt{std::nullopt, error};
+        },
+        [] { return attempt{}; });
+}
+
+publication_result publisher::publish(std::uint64_t replaced, const std::string &text)
+{
+    const std::string hash = hashConfiguration(text);
+    const steady_time deadline = m_environment.time.steadyNow() + m_settings.wait;
+    bool mayHaveTakenEffect = false;
+    std::string lastFault;
+    while (true) {
+        const attempt attempt = send(replaced, text);
+        if (attempt.answer) {
+            return {publication_outcome::accepted, attempt.answer->version, {}};
+        }
+        const client_error &error = attempt.error;
+        lastFault = toText(error);
+        const bool isRefused = error.failure == client_failure::refused;
+        const bool isConflict = isRefused && error.code == "publication_conflict";
+        const bool isUncertain = error.failure == client_failure::lost || error.failure == client_failure::malformed
+            || (isRefused && error.execution == "unknown");
+        if (!isConflict && !isUncertain && !mayHaveTakenEffect) {
+            return {publication_outcome::refused, 0, lastFault};
+        }
+        mayHaveTakenEffect = mayHaveTakenEffect || isUncertain;
+        m_progress.update(isConflict ? "another version is in force; comparing"
+                                     : fmt::format("{}; finding out what happened", lastFault));
+        if (const auto result = compare(replaced, hash, !mayHaveTakenEffect)) {
+            return *result;
+        }
+        if (isConflict && !mayHaveTakenEffect) {
+            return {publication_outcome::conflict, 0, lastFault};
+        }
+        if (m_environment.time.steadyNow() >= deadline) {
+            return {publication_outcome::unknown, 0, lastFault};
+        }
+        m_environment.sleep(pollInterval);
+        // A repeat is safe: in log order, only the first publication that replaces a version is accepted.
+    }
+}
+
+std::optional<publication_result>
+publisher::compare(std::uint64_t replaced, const std::string &hash, bool isCertainlyDecided)
+{
+    published_configuration newest;
+    for (const auto &answer : m_client.configurationOf(m_client.entries())) {
+        if (answer.value && answer.value->version > newest.version) {
+            newest = *answer.value;
+        }
+    }
+    if (newest.version <= replaced) {
+        return std::nullopt;
+    }
+    if (newest.hash == hash) {
+        return publication_result{publication_outcome::accepted, newest.version, "found by its hash"};
+    }
+    if (newest.version == replaced + 1 || isCertainlyDecided) {
+        return publication_result{publication_outcome::conflict,
+                                  newest.version,
+                                  fmt::format("version {} is in force and holds another text", newest.version)};
+    }
+    return publication_result{
+        publication_outcome::unknown,
+        newest.version,
+        fmt::format("version {} is in force; whether version {} was this text can't be seen any more",
+                    newest.version,
+                    replaced + 1)};
+}
+
+std::vector<vm_confirmation> publisher::readConfirmations(std::uint64_t version)
+{
+    // A VM that can't be reached from here may have confirmed to another one.
+    std::map<std::string, std::uint64_t> versions;
+    std::vector<std::string> addresses = m_client.entries();
+    for (const vm_status &member : m_members) {
+        if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
+            addresses.push_back(member.address);
+        }
+    }
+    std::vector<vm_status> members;
+    for (const auto &answer : m_client.statusOf(addresses)) {
+        if (!answer.value) {
+            continue;
+        }
+        std::uint64_t &own = versions[answer.value->id];
+        own = std::max(own, answer.value->configurationVersion);
+        for (const vm_status &member : answer.value->members) {
+            std::uint64_t &known = versions[member.id];
+            known = std::max(known, member.configurationVersion);
+        }
+        if (answer.value->members.size() > members.size()) {
+            members = answer.value->members;
+        }
+    }
+    if (!members.empty()) {
+        m_members = std::move(members);
+    }
+    std::vector<vm_confirmation> vms;
+    vms.reserve(m_members.size());
+    for (const vm_status &member : m_members) {
+        const std::uint64_t known = versions[member.id];
+        vms.push_back({member.id, member.availabilityZone, member.address, known, known >= version});
+    }
+    return vms;
+}
+
+confirmation_result publisher::waitForConfirmations(std::uint64_t version)
+{
+    const steady_time deadline = m_environment.time.steadyNow() + m_settings.wait;
+    std::optional<steady_time> majoritySince;
+    std::size_t knownMembers = 0;
+    while (true) {
+        confirmation_result result;
+        result.vms = readConfirmations(version);
+        showConfirmations(version, result.vms);
+        const auto confirmed = static_cast<std::size_t>(
+            std::count_if(result.vms.begin(), result.vms.end(), [](const auto &vm) { return vm.isConfirmed; }));
+        result.isConfirmedByAll = !result.vms.empty() && confirmed == result.vms.size();
+        result.isConfirmedByMajority = confirmed * 2 > result.vms.size();
+        const steady_time now = m_environment.time.steadyNow();
+        if (result.isConfirmedByMajority && !majoritySince) {
+            majoritySince = now;
+        }
+        // The first answer may come from a VM that knows few others; the list must be stable once.
+        const bool isListStable = knownMembers == result.vms.size();
+        knownMembers = result.vms.size();
+        const bool isOver = (result.isConfirmedByAll && isListStable)
+            || (majoritySince && now >= *majoritySince + m_settings.freshness) || now >= deadline;
+        if (isOver) {
+            return result;
+        }
+        m_environment.sleep(pollInterval);
+    }
+}
+
+void publisher::showConfirmations(std::uint64_t version, const std::vector<vm_confirmation> &vms)
+{
+    std::string missing;
+    std::size_t confirmed = 0;
+    std::size_t named = 0;
+    for (const vm_confirmation &vm : vms) {
+        if (vm.isConfirmed) {
+            ++confirmed;
+        } else if (named++ < namedVms) {
+            missing += (missing.empty() ? "" : ", ") + vm.id;
+        }
+    }
+    std::string line = fmt::format("version {}: in force on {} of {} VMs", version, confirmed, vms.size());
+    if (named > 0) {
+        line += fmt::format("; waiting for {}{}", missing, named > namedVms ? ", ..." : "");
+    }
+    m_progress.update(line);
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/apps/crocuslane/tests/command_test.cpp
@@ -0,0 +1,241 @@
+#include "configuration/checker.h"
+#include "fake_deployment.h"
+#include "timeline.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocuslane;
+using Catch::Matchers::Contains;
+using fate = fake_deployment::publication_fate;
+
+namespace {
+
+class command_fixture : protected fake_deployment
+{
+protected:
+    /// The running text with another share for the canary.
+    std::string editedFile()
+    {
+        std::string text = m_text;
+        const std::string key = "canary_percent = 5";
+        text.replace(text.find(key), key.size(), "canary_percent = 20");
+        return write("command_test_edited.ini", text);
+    }
+};
+
+nlohmann::json group(const std::string &name, double demand, double limit, std::uint64_t refused)
+{
+    return {{"group", "al-ansab/" + name},
+            {"organisation", "al-ansab"},
+            {"service", "dune-advice"},
+            {"demand_per_s", demand},
+            {"limit_per_s", limit},
+            {"admitted", 10},
+            {"refused", refused},
+            {"queued", 1},
+            {"tokens_in_flight", 100}};
+}
+
+nlohmann::json event(std::int64_t time, std::uint64_t logical, const std::string &vm, const std::string &kind)
+{
+    return {{"time_ms", time}, {"logical", logical}, {"vm", vm}, {"kind", kind}, {"request", "r<1"}, {"detail", "x=1"}};
+}
+
+} // namespace
+
+// Guards against errors without place, and against a wrong exit code in scripts.
+TEST_CASE_METHOD(command_fixture, "check, faulty file, lists faults with file and line", "[command]")
+{
+    const std::string file = write("command_test_faulty.ini", "[service a]\ntype = modal\n\ncolour = red\n");
+    CHECK(runPlain({"check", file}) == exit_code::usage);
+    CHECK_THAT(out(), Contains(file + ":2: [service a] type: found 'modal'; allowed: model, plain\n"));
+    CHECK_THAT(out(), Contains(file + ":4: [service a] colour: "));
+    CHECK(runPlain({"check", CROCUSLANE_SOURCE_FOLDER "/examples/rimal.ini", "--json"}) == exit_code::success);
+    CHECK(nlohmann::json::parse(out())["valid"] == true);
+    CHECK(runPlain({"check", "/nonexistent"}) == exit_code::usage);
+    CHECK(runPlain({"check"}) == exit_code::usage);
+    CHECK(runPlain({"nonsense"}) == exit_code::usage);
+    CHECK(runPlain({}) == exit_code::usage);
+}
+
+// Guards against a command without help.
+TEST_CASE_METHOD(command_fixture, "help, each command, names options and exit codes", "[command]")
+{
+    for (const command &command : allCommands()) {
+        CHECK(runPlain({std::string(command.name), "--help"}) == exit_code::success);
+        CHECK_THAT(out(), Contains("--json") && Contains("Exit codes"));
+    }
+    CHECK(runPlain({"--help"}) == exit_code::success);
+    CHECK(runPlain({"--version"}) == exit_code::success);
+}
+
+// Guards against a publication whose changes the operator can't see first.
+TEST_CASE_METHOD(command_fixture, "diff, file against running version, shows the change", "[command]")
+{
+    const std::string file = editedFile();
+    CHECK(run({"diff", file}) == exit_code::success);
+    CHECK(out() == "~ [version small@2] canary_percent: 5 -> 20\n");
+    CHECK(runPlain({"diff", file, file}) == exit_code::success);
+    CHECK(out().empty());
+    CHECK(runPlain({"diff", file}) == exit_code::usage);
+    CHECK_THAT(err(), Contains("--entry"));
+}
+
+// Guards against a publication that is not followed VM by VM.
+TEST_CASE_METHOD(command_fixture, "publish, all VMs confirm, is in force everywhere", "[command]")
+{
+    const std::string file = editedFile();
+    CHECK(run({"publish", file, "--json"}) == exit_code::success);
+    const auto answer = nlohmann::json::parse(out());
+    CHECK(answer["version"] == 8);
+    CHECK(answer["confirmed_by_all"] == true);
+    CHECK(answer["vms"].size() == 3);
+    CHECK_THAT(err(), Contains("replaces version 7") && Contains("canary_percent: 5 -> 20"));
+    CHECK(run({"publish", file}) == exit_code::success);
+    CHECK_THAT(err(), Contains("the same text is in force as version 8"));
+    CHECK(m_publications == 1);
+}
+
+// Guards against an endless wait for a VM that is gone, and against counting it as confirmed.
+TEST_CASE_METHOD(command_fixture, "publish, one VM silent, ends after the freshness limit", "[command]")
+{
+    m_followers = {0, 1};
+    vm(2).stop();
+    CHECK(run({"publish", editedFile()}) == exit_code::success);
+    CHECK_THAT(out(), Contains("not confirmed; takes no requests after 6 s") && Contains("VMs that did not confirm"));
+    m_followers = {0};
+    m_versions = {8, 0, 0};
+    CHECK(run({"publish", write("command_test_more.ini", m_text + "\n# more\n")}) == exit_code::unconfirmed);
+}
+
+// Guards against a lost answer that is reported as a failure, or published twice.
+TEST_CASE_METHOD(command_fixture, "publish, answer lost after effect, finds its version by the hash", "[command]")
+{
+    m_fates = {fate::accepted_but_lost};
+    CHECK(run({"publish", editedFile()}) == exit_code::success);
+    CHECK(m_publications == 1);
+    CHECK_THAT(err(), Contains("finding out what happened"));
+    CHECK_THAT(out(), Contains("version 8 is in force everywhere"));
+}
+
+// Guards against a lost request that is taken for a published one.
+TEST_CASE_METHOD(command_fixture, "publish, request lost before effect, is repeated", "[command]")
+{
+    m_fates = {fate::dropped_and_lost, fate::dropped_and_lost};
+    CHECK(run({"publish", editedFile()}) == exit_code::success);
+    CHECK(m_publications == 3);
+    CHECK(m_version == 8);
+}
+
+// Guards against overwriting the text of another operator.
+TEST_CASE_METHOD(command_fixture, "publish, another text came first, is a conflict", "[command]")
+{
+    m_fates = {fate::overtaken_and_lost};
+    CHECK(run({"publish", editedFile()}) == exit_code::conflict);
+    CHECK(m_publications == 1);
+    m_fates = {};
+    CHECK(run({"publish", editedFile(), "--replaces", "7"}) == exit_code::conflict);
+    CHECK(m_version == 8);
+}
+
+// Guards against an outcome that is guessed, and against a refusal that is tried again for ever.
+TEST_CASE_METHOD(command_fixture, "publish, no outcome or refused, says so", "[command]")
+{
+    m_fates = std::deque<fate>(1000, fate::dropped_and_lost);
+    CHECK(run({"publish", editedFile(), "--wait", "3"}) == exit_code::unknown_outcome);
+    m_fates = {fate::log_unavailable};
+    CHECK(run({"publish", editedFile()}) == exit_code::failure);
+    CHECK_THAT(err(), Contains("log_unavailable"));
+    CHECK(runPlain({"publish", editedFile(), "--entry", vm(0).address(), "--key", "wrong"}) == exit_code::failure);
+    CHECK_THAT(err(), Contains("unauthenticated"));
+    CHECK(m_version == 7);
+}
+
+// Guards against roll-out steps that publish something else than they say.
+TEST_CASE_METHOD(command_fixture, "rollout and withdraw, publish edits of the running text", "[command]")
+{
+    CHECK(run({"rollout", "small@2", "--percent", "50"}) == exit_code::success);
+    CHECK_THAT(m_text, Contains("canary_percent = 50"));
+    CHECK(run({"rollout", "small@2", "--finish", "--output", "command_test_output.ini"}) == exit_code::success);
+    CHECK_THAT(err(), Contains("[version small@1] state: active -> draining"));
+    const check_result running = checkConfiguration(m_text);
+    REQUIRE(running.value);
+    CHECK(running.value->versions.at(version_id("small@2")).state == version_state::active);
+    CHECK(run({"withdraw", "small@1", "--dry-run"}) == exit_code::success);
+    CHECK(m_version == 9);
+    CHECK(run({"withdraw", "small@1"}) == exit_code::success);
+    CHECK(checkConfiguration(m_text).value->versions.at(version_id("small@1")).state == version_state::withdrawn);
+    CHECK(run({"withdraw", "medium@1"}) == exit_code::usage);
+    CHECK_THAT(err(), Contains("no active version left"));
+    CHECK(run({"withdraw", "none@1"}) == exit_code::usage);
+    CHECK(run({"rollout", "small@3", "--percent", "1"}) == exit_code::usage);
+    CHECK(run({"rollout", "small@3", "--percent", "1", "--replaced", "small@2", "--same-rights"})
+          == exit_code::success);
+    CHECK(run({"rollout", "small@3", "--percent", "101"}) == exit_code::usage);
+    CHECK(run({"rollout", "small@3"}) == exit_code::usage);
+}
+
+// Guards against an overload whose cause is not the first thing that operators see.
+TEST_CASE_METHOD(command_fixture, "groups, one over its bound on two VMs, comes first with its sum", "[command]")
+{
+    m_groups[0] = {group("agronomists", 3, 15, 0), group("wetland-survey", 20, 4, 50)};
+    m_groups[1] = {group("agronomists", 3, 15, 0), group("wetland-survey", 20, 4, 70)};
+    vm(2).stop();
+    CHECK(run({"groups"}) == exit_code::success);
+    CHECK_THAT(out(),
+               Catch::Matchers::StartsWith(
+                   "OVER ITS BOUND: al-ansab/wetland-survey demands 40.0/s, 10.0 times its bound of 4.0/s\n"));
+    CHECK_THAT(err(), Contains("not included: " + vm(2).address()));
+    CHECK(run({"groups", "--json"}) == exit_code::success);
+    const auto answer = nlohmann::json::parse(out());
+    CHECK(answer["groups"][0]["refused"] == 120);
+    CHECK(answer["groups"][1]["over_limit"] == false);
+    CHECK(answer["vms_without_answer"] == 1);
+}
+
+// Guards against events out of order, and against names that break the picture.
+TEST_CASE_METHOD(command_fixture, "timeline, events of three VMs, are merged in hybrid logical order", "[command]")
+{
+    m_events[0] = {event(2000, 1, "vm-0", "attempt_started"), event(1000, 0, "vm-0", "request_received")};
+    m_events[1] = {event(2000, 0, "vm-1", "configuration_accepted")};
+    m_events[2] = {event(2000, 1, "vm-0", "attempt_started")};
+    CHECK(run({"timeline", "--request", "r<1", "--svg", "command_test.svg", "--json"}) == exit_code::success);
+    const auto events = nlohmann::json::parse(out())["events"];
+    REQUIRE(events.size() == 3);
+    CHECK(events[1]["kind"] == "configuration_accepted");
+    CHECK(events[2]["kind"] == "attempt_started");
+    std::ifstream file("command_test.svg");
+    const std::string svg{std::istreambuf_iterator<char>(file), {}};
+    CHECK_THAT(svg, Contains(">vm-0</text>") && Contains(">vm-1</text>") && Contains("r&lt;1") && !Contains("r<1"));
+    CHECK(run({"timeline"}) == exit_code::success);
+    CHECK_THAT(out(), Contains("1970-01-01T00:00:01.000Z +0"));
+    CHECK(run({"timeline", "--since", "soon"}) == exit_code::usage);
+}
+
+// Guards against a wrong start of the time line.
+TEST_CASE("timeline, since, reads ages and points in time", "[command]")
+{
+    CHECK(parseSince("90s", 100'000) == 10'000);
+    CHECK(parseSince("2m", 200'000) == 80'000);
+    CHECK(parseSince("1970-01-01T00:01:00Z", 0) == 60'000);
+    CHECK_FALSE(parseSince("10", 0));
+    CHECK_FALSE(parseSince("", 0));
+    CHECK_FALSE(parseSince("-5s", 0));
+    CHECK_FALSE(parseSince("99999999999999999999s", 0));
+}
+
+// Guards against views that fail as a whole when one VM is silent.
+TEST_CASE_METHOD(command_fixture, "status, bills and drain, one VM silent, are answered", "[command]")
+{
+    vm(0).stop();
+    CHECK(run({"status"}) == exit_code::success);
+    CHECK_THAT(out(), Contains("no answer") && Contains("takes requests"));
+    CHECK(run({"status", "--json"}) == exit_code::success);
+    CHECK(nlohmann::json::parse(out())["vms"][0]["answered"] == false);
+    CHECK(run({"bills"}) == exit_code::success);
+    CHECK_THAT(out(), Contains("1.500000"));
+    CHECK(run({"drain", "vm-2"}) == exit_code::success);
+    CHECK(m_drained == "vm-2");
+    CHECK(run({"drain", "vm-9"}) == exit_code::usage);
+    CHECK(run({"drain", "vm-0"}) == exit_code::failure);
+}
