--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -14,6 +14,8 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "plugins/publication/publication_settings.h"
+#include "timeline/timeline_ring.h"
 
 #include <boost/leaf/error.hpp>
 #include <fmt/format.h>
@@ -26,13 +28,13 @@
 
 namespace {
 
-class discarding_timeline : public timeline_recorder
+constexpr std::chrono::milliseconds stopCheckInterval{50};
+
+/// Whether the id, as the caller or the router knows it, names the request.
+bool isNamed(const request_id &request, const std::string &id)
 {
-public:
-    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
-    {
-    }
-};
+    return request.value() == id || request.value().find('/' + id + '/') != std::string::npos;
+}
 
 } // namespace
 
@@ -44,6 +46,7 @@
         , log(log)
         , random(systemSeed())
         , hybridTime(clock)
+        , timeline(hybridTime, settings.node.id, settings.timelineEvents)
         , decisions({clock, random, settings.node, {settings.sessionKey}, timeline})
         , metrics(clock)
         , http(loop)
@@ -52,16 +55,31 @@
                owner,
                settings.node,
                settings.bootstrapKeyHash,
-               [](const std::string & /*request*/, std::int64_t /*since*/) { return std::string(R"({"events":[]})"); },
+               [this](const std::string &request, std::int64_t since) { return timelineText(request, since); },
                [this] { return metricsText(); }})
         , callers(clock, owner, operators, fmt::format("{}-{:x}", settings.node.id.value(), settings.node.incarnation))
-        , server(loop, callers, settings.bodyLimit)
+        , server(loop, callers, {settings.bodyLimit, settings.connectionLimit})
         , logClient(loop, http, clock, owner, settings.logServiceAddress)
         , platform(loop, http, owner, {settings.vmListAddress, settings.ratingServiceAddress})
         , backends(http, owner)
         , peers({loop, owner, log, hybridTime, settings.node, settings.peerKey})
     {
         operators.setCallers(callers);
+        publication.freshnessLimit = settings.freshnessLimit;
+        publication.retention = settings.logRetention;
+        publication.bootstrapKeyHash = settings.bootstrapKeyHash;
+        decisions.services().offer(publication);
+    }
+
+    std::string timelineText(const std::string &id, std::int64_t sinceMilliseconds) const
+    {
+        nlohmann::json events = nlohmann::json::array();
+        for (const timeline_event &event : timeline.events({}, sinceMilliseconds)) {
+            if (id.empty() || isNamed(event.request, id)) {
+                events.push_back(toJson(event));
+            }
+        }
+        return nlohmann::json({{"events", std::move(events)}}).dump();
     }
 
     std::string metricsText()
@@ -80,10 +98,16 @@
             event next = std::move(pending.front());
             pending.pop_front();
             metrics.observe(next);
+            const bool isStopRequest = std::holds_alternative<stop_requested>(next);
             const steady_time begin = time.steadyNow();
             const action_list actions = decisions.handle(std::move(next));
             metrics.observeStep(time.steadyNow() - begin);
             carryOut(actions);
+            if (isStopRequest && !isStopping) {
+                isStopping = true;
+                log.write(log_level::info, "stopping", {});
+                loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
+            }
         }
         isHandling = false;
         server.flush();
@@ -209,6 +233,16 @@
         loop.stop();
     }
 
+    /// A planned stop waits for every plug-in: streams in progress, cached advice, bills and duties to hand over.
+    void stopWhenIdle()
+    {
+        if (decisions.isIdle() && !callers.hasRequests() && !server.isBusy()) {
+            carryOut(stop_process{});
+            return;
+        }
+        loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
+    }
+
     void scheduleDeadline()
     {
         const steady_time wanted = decisions.nextDeadline();
@@ -239,7 +273,8 @@
     logger &log;
     seeded_random random;
     hybrid_clock hybridTime;
-    discarding_timeline timeline;
+    timeline_ring timeline;
+    publication_settings publication;
     kernel decisions;
     traffic_metrics metrics;
     http_client http;
@@ -252,6 +287,7 @@
     peer_network peers;
     std::deque<event> pending;
     bool isHandling = false;
+    bool isStopping = false;
     std::optional<timer_number> deadlineTimer;
     steady_time scheduledDeadline;
 };
