Read caller groups as reports of the whole deployment

Cause: the admission plug-in reports its own counts plus those heard from the other VMs, so that the command's sum over VMs counted each request once per VM. The largest figure per group is taken, because a VM that hears few others reports too little. The billing plug-in's name for the number of requests is accepted as well.

--- a/src/apps/crocuslane/operator_client.cpp
+++ b/src/apps/crocuslane/operator_client.cpp
@@ -148,7 +148,9 @@
     bill_list list;
     list.bills = dump(body.at("bills"));
     for (const json &entry : body.at("totals")) {
-        list.totals.push_back({entry.at("organisation"), entry.at("requests"), entry.at("cost")});
+        // A request has one bill, so both names give the same number.
+        const json &requests = entry.contains("requests") ? entry.at("requests") : entry.at("bills");
+        list.totals.push_back({entry.at("organisation"), requests, entry.at("cost")});
     }
     return list;
 }
--- a/src/apps/crocuslane/operator_client.h
+++ b/src/apps/crocuslane/operator_client.h
@@ -66,9 +66,11 @@
     std::string plugins;
 };
 
+/// Load of a caller group over all entry VMs, as one VM counted and heard it.
 struct group_load {
     std::string group;
     std::string organisation;
+    /// Services that the group called, separated by commas.
     std::string service;
     double demandPerSecond = 0.0;
     double limitPerSecond = 0.0;
--- a/src/apps/crocuslane/view_commands.cpp
+++ b/src/apps/crocuslane/view_commands.cpp
@@ -105,105 +105,69 @@
 
 // groups
 
-struct merged_group {
-    std::string group;
-    std::string organisation;
-    std::vector<group_load> services;
-    double demandPerSecond = 0.0;
-    double limitPerSecond = 0.0;
-    std::uint64_t admitted = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t queued = 0;
-    std::uint64_t tokensInFlight = 0;
-
-    double share() const
-    {
-        return limitPerSecond > 0.0 ? demandPerSecond / limitPerSecond : 0.0;
-    }
-};
-
-void addLoad(merged_group &merged, const group_load &load)
+double shareOf(const group_load &group)
 {
-    merged.group = load.group;
-    merged.organisation = load.organisation;
-    merged.demandPerSecond += load.demandPerSecond;
-    // Each VM reports the bound of the whole deployment.
-    merged.limitPerSecond = std::max(merged.limitPerSecond, load.limitPerSecond);
-    merged.admitted += load.admitted;
-    merged.refused += load.refused;
-    merged.queued += load.queued;
-    merged.tokensInFlight += load.tokensInFlight;
-    for (group_load &known : merged.services) {
-        if (known.service == load.service) {
-            known.demandPerSecond += load.demandPerSecond;
-            known.admitted += load.admitted;
-            known.refused += load.refused;
-            known.queued += load.queued;
-            known.tokensInFlight += load.tokensInFlight;
-            return;
-        }
-    }
-    merged.services.push_back(load);
+    return group.limitPerSecond > 0.0 ? group.demandPerSecond / group.limitPerSecond : 0.0;
 }
 
-std::vector<merged_group> mergeGroups(const std::vector<vm_answer<std::vector<group_load>>> &answers)
+/// Each VM reports what it counted itself plus what it heard from the others. A VM that hears few of them reports too
+/// little, so the largest figure of each group is taken rather than a sum.
+std::vector<group_load> mergeGroups(const std::vector<vm_answer<std::vector<group_load>>> &answers)
 {
-    std::map<std::string, merged_group> byName;
+    std::map<std::string, group_load> byName;
     for (const auto &answer : answers) {
         if (!answer.value) {
             continue;
         }
         for (const group_load &load : *answer.value) {
-            addLoad(byName[load.group], load);
+            group_load &merged = byName.emplace(load.group, load).first->second;
+            merged.service = load.service.size() > merged.service.size() ? load.service : merged.service;
+            merged.demandPerSecond = std::max(merged.demandPerSecond, load.demandPerSecond);
+            merged.limitPerSecond = std::max(merged.limitPerSecond, load.limitPerSecond);
+            merged.admitted = std::max(merged.admitted, load.admitted);
+            merged.refused = std::max(merged.refused, load.refused);
+            merged.queued = std::max(merged.queued, load.queued);
+            merged.tokensInFlight = std::max(merged.tokensInFlight, load.tokensInFlight);
         }
     }
-    std::vector<merged_group> groups;
+    std::vector<group_load> groups;
     groups.reserve(byName.size());
     for (auto &[name, group] : byName) {
         groups.push_back(std::move(group));
     }
-    std::stable_sort(groups.begin(), groups.end(), [](const merged_group &left, const merged_group &right) {
-        return left.share() > right.share();
+    std::stable_sort(groups.begin(), groups.end(), [](const group_load &left, const group_load &right) {
+        return shareOf(left) > shareOf(right);
     });
     return groups;
 }
 
-json groupsAsJson(const std::vector<merged_group> &groups)
+json groupsAsJson(const std::vector<group_load> &groups)
 {
     json list = json::array();
-    for (const merged_group &group : groups) {
-        json services = json::array();
-        for (const group_load &service : group.services) {
-            services.push_back({{"service", service.service},
-                                {"demand_per_s", service.demandPerSecond},
-                                {"admitted", service.admitted},
-                                {"refused", service.refused},
-                                {"queued", service.queued},
-                                {"tokens_in_flight", service.tokensInFlight}});
-        }
+    for (const group_load &group : groups) {
         list.push_back({{"group", group.group},
                         {"organisation", group.organisation},
+                        {"service", group.service},
                         {"demand_per_s", group.demandPerSecond},
                         {"limit_per_s", group.limitPerSecond},
                         {"admitted", group.admitted},
                         {"refused", group.refused},
                         {"queued", group.queued},
                         {"tokens_in_flight", group.tokensInFlight},
-                        {"over_limit", group.share() > 1.0},
-                        {"services", std::move(services)}});
+                        {"over_limit", shareOf(group) > 1.0}});
     }
     return list;
 }
 
-void printGroups(const std::vector<merged_group> &groups, command_environment &environment)
+void printGroups(const std::vector<group_load> &groups, command_environment &environment)
 {
     std::size_t over = 0;
-    for (const merged_group &group : groups) {
-        if (group.share() > 1.0) {
+    for (const group_load &group : groups) {
+        if (shareOf(group) > 1.0) {
             environment.out << fmt::format("OVER ITS BOUND: {} demands {:.1f}/s, {:.1f} times its bound of {:.1f}/s\n",
                                            group.group,
                                            group.demandPerSecond,
-                                           group.share(),
+                                           shareOf(group),
                                            group.limitPerSecond);
             ++over;
         }
@@ -212,16 +176,12 @@
         environment.out << "no caller group is over its bound\n";
     }
     table rows({"GROUP", "SERVICE", "DEMAND/S", "BOUND/S", "USED", "ADMITTED", "REFUSED", "QUEUED", "TOKENS"});
-    for (const merged_group &group : groups) {
-        std::string services;
-        for (const group_load &service : group.services) {
-            services += (services.empty() ? "" : ",") + service.service;
-        }
+    for (const group_load &group : groups) {
         rows.addRow({group.group,
-                     services,
+                     group.service,
                      fmt::format("{:.1f}", group.demandPerSecond),
                      fmt::format("{:.1f}", group.limitPerSecond),
-                     fmt::format("{:.0f}%", group.share() * wholePercent),
+                     fmt::format("{:.0f}%", shareOf(group) * wholePercent),
                      std::to_string(group.admitted),
                      std::to_string(group.refused),
                      std::to_string(group.queued),
@@ -236,7 +196,7 @@
     BOOST_LEAF_AUTO(members, opened.members());
     const auto answers = opened.client().groupsOf(addressesOf(members));
     const std::size_t silent = reportSilent(answers, environment);
-    const std::vector<merged_group> groups = mergeGroups(answers);
+    const std::vector<group_load> groups = mergeGroups(answers);
     if (wantsJson(values)) {
         printJson(environment.out, {{"groups", groupsAsJson(groups)}, {"vms_without_answer", silent}});
     } else {
@@ -418,7 +378,7 @@
     static const command command{"groups",
                                  "",
                                  "show per caller group demand, bound, admitted, refused and queued requests",
-                                 "Summed over all entry VMs; the group that demands most of its bound comes first.",
+                                 "For the whole deployment; the group that demands most of its bound comes first.",
                                  true,
                                  describeNothing,
                                  runGroups};
