Let excess in only where load reports show idle capacity

Now a group counts as over its limit four standard deviations above it, demand is smoothed over 3 s, a tenth of the slots is kept free of excess, and groups share idle capacity evenly.

--- a/src/plugins/admission/admission_plugin.cpp
+++ b/src/plugins/admission/admission_plugin.cpp
@@ -1,6 +1,7 @@
 #include "kernel/plugin.h"
 #include "plugins/admission/arrival_rate.h"
 #include "plugins/admission/fair_order.h"
+#include "plugins/admission/idle_capacity.h"
 #include "plugins/admission/limit_share.h"
 #include "plugins/admission/remote_demand.h"
 #include "plugins/admission/request_bucket.h"
@@ -11,6 +12,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 #include <set>
 #include <unordered_map>
 
@@ -18,16 +21,23 @@
 
 namespace {
 
-constexpr std::chrono::seconds demandTime{1};
+constexpr std::chrono::seconds demandTime{3};
 // Demand that rises counts for the own share only when the other VMs have heard of it and given way.
 constexpr std::chrono::seconds toldDelay{1};
 constexpr std::chrono::milliseconds shareInterval{100};
 constexpr double idleRate = 0.01;
-// Excess requests of a group that may wait at this VM for capacity to become idle.
+// Standard deviations of smoothed random arrivals at the limit beyond which a group is taken to be over its limit.
+constexpr double clearDeviations = 4.0;
+// Excess requests of a group that may be in progress at this VM when no report tells how much capacity is idle.
 constexpr std::size_t smallestExcess = 8;
 constexpr double excessSeconds = 2.0;
-// Older reports say nothing of the capacity that is idle now.
-constexpr std::chrono::seconds oldestLoadReport{5};
+
+// Demand of a group that is within its limit rarely looks higher. The variance of a smoothed Poisson process is its
+// rate divided by twice the time constant.
+double clearlyOver(double limit)
+{
+    return limit + clearDeviations * std::sqrt(limit / (2.0 * toSeconds(demandTime)));
+}
 
 } // namespace
 
@@ -51,9 +61,11 @@
         if (const auto *changed = std::get_if<configuration_changed>(&event)) {
             m_configuration = changed->current;
         } else if (const auto *report = std::get_if<runner_load_reported>(&event)) {
-            noteLoad(report->load);
+            m_idle.noteLoad(report->load, now());
         } else if (const auto *unreachable = std::get_if<runner_unreachable>(&event)) {
-            m_idleSlots.erase(unreachable->runner);
+            m_idle.noteUnreachable(unreachable->runner);
+        } else if (const auto *list = std::get_if<vm_list_read>(&event)) {
+            m_idle.setBackendServers(list->entries);
         }
     }
 
@@ -74,6 +86,8 @@
         told_rate toldRate{toldDelay};
         request_bucket bucket;
         double share = 0.0;
+        /// Demand at the other VMs, as last heard.
+        double remoteRate = 0.0;
         std::optional<steady_time> shareComputedAt;
         std::size_t excessInProgress = 0;
         std::uint64_t tokensInFlight = 0;
@@ -91,17 +105,11 @@
         bool wasQueued = false;
     };
 
-    struct idle_slots {
-        std::uint32_t slots = 0;
-        steady_time reportedAt;
-    };
-
     steady_time now() const
     {
         return m_context->time.steadyNow();
     }
 
-    void noteLoad(const runner_load &load);
     const caller_group_settings *settings(const caller_group_id &group);
     std::size_t vmCount() const;
     void updateShare(const caller_group_id &group, const caller_group_settings &settings, account &account);
@@ -109,7 +117,7 @@
                     const caller_group_settings &settings,
                     const account &account,
                     std::uint64_t tokens) const;
-    std::size_t excessAllowed(const caller_group_settings &settings, const account &account) const;
+    bool takeExcess(const service_id &service, const caller_group_settings &settings, const account &account);
     fair_order &orderOf(admission_standing standing);
 
     plugin_context *m_context = nullptr;
@@ -119,15 +127,9 @@
     remote_demand m_remote;
     fair_order m_withinOrder;
     fair_order m_excessOrder;
-    std::unordered_map<runner_id, idle_slots> m_idleSlots;
+    idle_capacity m_idle;
 };
 
-void admission_plugin::noteLoad(const runner_load &load)
-{
-    const bool isIdle = load.state == backend_state::live && load.queued == 0 && load.slotsUsed < load.slots;
-    m_idleSlots[load.runner] = {isIdle ? load.slots - load.slotsUsed : 0, now() - load.age};
-}
-
 const caller_group_settings *admission_plugin::settings(const caller_group_id &group)
 {
     if (!m_configuration) {
@@ -174,6 +176,7 @@
             break;
         }
     }
+    account.remoteRate = std::accumulate(inputs.heardRates.begin(), inputs.heardRates.end(), 0.0);
     account.share = limitShare(inputs);
     account.bucket.setRate(settings.requestsPerSecond * account.share, now());
 }
@@ -200,14 +203,25 @@
         || static_cast<double>(inFlight + tokens) <= part * static_cast<double>(settings.tokensInFlight);
 }
 
-std::size_t admission_plugin::excessAllowed(const caller_group_settings &settings, const account &account) const
+// Beyond its limit a group gets idle capacity only, and of that an even part when several groups want it.
+bool admission_plugin::takeExcess(const service_id &service,
+                                  const caller_group_settings &settings,
+                                  const account &account)
 {
-    std::size_t idle = 0;
-    for (const auto &[runner, slots] : m_idleSlots) {
-        idle += now() - slots.reportedAt <= oldestLoadReport ? slots.slots : 0;
+    const std::optional<double> available = m_idle.available(service, vmCount(), now());
+    if (!available) {
+        const auto bound = static_cast<std::size_t>(settings.requestsPerSecond * account.share * excessSeconds);
+        return account.excessInProgress < std::max(smallestExcess, bound);
+    }
+    const double recent = static_cast<double>(m_idle.recent(service, now()));
+    const std::size_t ownRecent = m_idle.recentOf(service, settings.id);
+    const std::size_t groups = m_idle.recentGroups(service) + (ownRecent == 0 ? 1 : 0);
+    if (recent + 1.0 > *available
+        || static_cast<double>(ownRecent) + 1.0 > std::max(1.0, *available / static_cast<double>(groups))) {
+        return false;
     }
-    const auto waiting = static_cast<std::size_t>(settings.requestsPerSecond * account.share * excessSeconds);
-    return std::max(smallestExcess, waiting) + idle / vmCount();
+    m_idle.take(service, settings.id, now());
+    return true;
 }
 
 fair_order &admission_plugin::orderOf(admission_standing standing)
@@ -235,7 +249,11 @@
         if (!isWithin) {
             grant.standing = admission_standing::excess;
         }
-        if (!isWithin && account.excessInProgress >= excessAllowed(*limits, account)) {
+        // Arrivals at one VM are uneven: a group that is within its limit as a whole may find this VM's part used up.
+        // Its requests then wait behind those within the limit, but they are not turned away.
+        const bool isOverLimit =
+            account.rate.perSecond(now()) + account.remoteRate > clearlyOver(limits->requestsPerSecond);
+        if (!isWithin && isOverLimit && !takeExcess(service, *limits, account)) {
             ++account.refused;
             return request_error{error_code::limit_exceeded,
                                  execution_state::not_run,
