--- a/src/plugins/admission/idle_capacity.cpp
+++ b/src/plugins/admission/idle_capacity.cpp
@@ -11,7 +11,7 @@
 // What was let in shows in the reports after their interval and their lag.
 constexpr std::chrono::milliseconds reportDelay{1000};
 // Kept free of excess, so that a request within its limit finds a free slot at once.
-constexpr double headroom = 0.1;
+constexpr double headroom = 0.3;
 
 } // namespace
 
