Let a version be withdrawn while a canary is to replace it

Ruled out: dropping the check of the model and of the version itself; both stay. Before: exit code 2 at the publication.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -50,13 +50,12 @@
         , decisions({clock, random, settings.node, {settings.sessionKey}, timeline})
         , metrics(clock)
         , http(loop)
-        , operators(
-              {decisions,
-               owner,
-               settings.node,
-               settings.bootstrapKeyHash,
-               [this](const std::string &request, std::int64_t since) { return timelineText(request, since); },
-               [this] { return metricsText(); }})
+        , operators({decisions,
+                     owner,
+                     settings.node,
+                     settings.bootstrapKeyHash,
+                     [this](const std::string &request, std::int64_t since) { return timelineText(request, since); },
+                     [this] { return metricsText(); }})
         , callers(clock, owner, operators, fmt::format("{}-{:x}", settings.node.id.value(), settings.node.incarnation))
         , server(loop, callers, {settings.bodyLimit, settings.connectionLimit})
         , logClient(loop, http, clock, owner, settings.logServiceAddress)
--- a/src/libs/configuration/cross_checks.cpp
+++ b/src/libs/configuration/cross_checks.cpp
@@ -190,7 +190,8 @@
 
     void checkReplaced(const std::string &section, const version_settings &version)
     {
-        const std::string allowed = fmt::format("another active version of model '{}'", version.model.value());
+        // The state of the replaced version doesn't matter: withdrawing it at once must not need a second edit.
+        const std::string allowed = fmt::format("another version of model '{}'", version.model.value());
         const auto replaced = m_configuration.versions.find(*version.replaces);
         if (replaced == m_configuration.versions.end()) {
             return;
@@ -200,8 +201,6 @@
         } else if (replaced->second.model != version.model) {
             report(
                 section, "replaces", fmt::format("a version of model '{}'", replaced->second.model.value()), allowed);
-        } else if (replaced->second.state != version_state::active) {
-            report(section, "replaces", fmt::format("'{}', which is not active", replaced->first.value()), allowed);
         }
     }
 
