--- /dev/null
+++ b/src/libs/wire/fuzz/write_seeds.cpp
@@ -0,0 +1,59 @@
+#include "wire/envelope_codec.h"
+#include "wire/frame_codec.h"
+#include "wire/peer_handshake.h"
+
+#include <fstream>
+
+using namespace crocuslane;
+
+namespace {
+
+member_state state()
+{
+    member_state state{vm_id("vm-2"), 3, 9, 4, 250, true, {}, {}, 120};
+    state.demand.push_back({caller_group_id("north/desk"), 2.5, 1000, 20, 3, 1});
+    state.runners.push_back({runner_id("runner-1"), 4, true});
+    return state;
+}
+
+} // namespace
+
+/// Writes one valid input of each kind into the folder that is the only argument, for the fuzzer to start from.
+int main(int argumentCount, char **arguments)
+{
+    if (argumentCount != 2) {
+        return 2;
+    }
+    const bill bill{request_id("r"),
+                    organisation_id("north"),
+                    caller_group_id("north/desk"),
+                    service_id("s"),
+                    kind_id("k"),
+                    version_id("m@1"),
+                    {1, 2, 3},
+                    44,
+                    1'750'000'000'000};
+    const std::vector<peer_message> messages{heartbeat{5, 6, true, 4},
+                                             exchange_digest{{{vm_id("vm-2"), 3, 9}}, 8},
+                                             exchange_delta{{state()}, {{vm_id("vm-3"), 255, 4, true}}},
+                                             bill_copy{bill},
+                                             bill_copy_acknowledged{request_id("r")},
+                                             bill_copy_released{request_id("r")},
+                                             configuration_fetch{12},
+                                             configuration_text{12, 99, "[service a]\n"}};
+    std::vector<std::string> inputs;
+    std::string stream;
+    for (const peer_message &message : messages) {
+        inputs.push_back(encodeEnvelope({vm_id("vm-1"), 7, {1234, 5}, message}).value());
+        stream += encodeFrame(inputs.back()).value();
+    }
+    inputs.push_back(stream);
+    peer_handshake opened(connection_side::opened, {vm_id("peer"), 2}, "other key", std::string(32, 'o'));
+    peer_handshake accepted(connection_side::accepted, {vm_id("self"), 1}, "other key", std::string(32, 'n'));
+    const std::string proof = opened.receive(accepted.challenge()).value().value();
+    inputs.push_back(encodeFrame(opened.challenge()).value() + encodeFrame(proof).value());
+    for (std::size_t index = 0; index < inputs.size(); ++index) {
+        std::ofstream(std::string(arguments[1]) + "/seed-" + std::to_string(index), std::ios::binary) << inputs[index];
+    }
+    return 0;
+}
