Refuse to undo a withdrawal by an old text, and keep labels of the picture apart

Cause: in a trial with three daemons, publishing the example file after a withdrawal took the withdrawn version back into use; the change was printed, but nothing stopped it. Refusing it in the checker was ruled out, because the checker sees one text only. The trial's picture of 298 events had labels on top of each other. Conclusion: an old text can't undo a withdrawal unnoticed.

--- a/src/apps/crocuslane/publish_commands.cpp
+++ b/src/apps/crocuslane/publish_commands.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 #include "configuration/checker.h"
 #include "configuration/difference.h"
+#include "configuration/key_table.h"
 #include "configuration/text_edit.h"
 #include "json_output.h"
 #include "progress_display.h"
@@ -30,6 +31,7 @@
 void describePublication(command_options &described)
 {
     described.visible.add_options()("dry-run", "check and show the changes, publish nothing")(
+        "reactivate", "allow the text to take a withdrawn version back into use")(
         "wait",
         options::value<double>()->default_value(defaultWaitSeconds)->value_name("SECONDS"),
         "longest wait for the outcome, and for confirmations")(
@@ -77,6 +79,25 @@
     }
 }
 
+/// Withdrawn versions that a text takes back into use. An operator who publishes a text from before a withdrawal would
+/// undo it without noticing.
+std::vector<std::string> reactivatedVersions(const published_configuration &running, const configuration &after)
+{
+    const check_result before = checkConfiguration(running.text);
+    std::vector<std::string> names;
+    if (!before.value) {
+        return names;
+    }
+    for (const auto &[id, version] : before.value->versions) {
+        const auto now = after.versions.find(id);
+        if (version.state == version_state::withdrawn && now != after.versions.end()
+            && now->second.state != version_state::withdrawn) {
+            names.push_back(id.value());
+        }
+    }
+    return names;
+}
+
 void printConfirmations(const confirmation_result &confirmations,
                         const publication_settings &settings,
                         command_environment &environment)
@@ -181,9 +202,16 @@
     if (isInForce) {
         environment.err << fmt::format("the same text is in force as version {}\n", running.version);
     } else {
-        environment.err << fmt::format("replaces version {} (hash {})\n", replaced, running.hash);
+        environment.err << fmt::format(
+            "replaces version {}; version {} is in force (hash {})\n", replaced, running.version, running.hash);
         showChanges(running, after, environment);
     }
+    const std::vector<std::string> reactivated = reactivatedVersions(running, after);
+    if (!reactivated.empty() && !values.contains("reactivate")) {
+        return leaf::new_error(usage_error{fmt::format(
+            "the text would take {} back into use, which was withdrawn; update the text, or use --reactivate",
+            joinList(reactivated))});
+    }
     if (values.contains("dry-run")) {
         if (wantsJson(values)) {
             printJson(environment.out, {{"dry_run", true}, {"replaces", replaced}, {"text", after.text}});
--- a/src/apps/crocuslane/tests/command_test.cpp
+++ b/src/apps/crocuslane/tests/command_test.cpp
@@ -90,7 +90,7 @@
     CHECK(answer["version"] == 8);
     CHECK(answer["confirmed_by_all"] == true);
     CHECK(answer["vms"].size() == 3);
-    CHECK_THAT(err(), Contains("replaces version 7") && Contains("canary_percent: 5 -> 20"));
+    CHECK_THAT(err(), Contains("replaces version 7; version 7 is in force") && Contains("canary_percent: 5 -> 20"));
     CHECK(run({"publish", file}) == exit_code::success);
     CHECK_THAT(err(), Contains("the same text is in force as version 8"));
     CHECK(m_publications == 1);
@@ -175,6 +175,17 @@
     CHECK(run({"rollout", "small@3"}) == exit_code::usage);
 }
 
+// Guards against a withdrawal that is undone by a text from before it.
+TEST_CASE_METHOD(command_fixture, "publish, text from before a withdrawal, needs a flag", "[command]")
+{
+    const std::string file = editedFile();
+    CHECK(run({"withdraw", "small@2"}) == exit_code::success);
+    CHECK(run({"publish", file}) == exit_code::usage);
+    CHECK_THAT(err(), Contains("small@2") && Contains("--reactivate"));
+    CHECK(m_version == 8);
+    CHECK(run({"publish", file, "--reactivate"}) == exit_code::success);
+}
+
 // Guards against an overload whose cause is not the first thing that operators see, and against counting it twice:
 // each VM reports the whole deployment as it heard it.
 TEST_CASE_METHOD(command_fixture, "groups, one over its bound, comes first with the fullest count", "[command]")
--- a/src/apps/crocuslane/timeline.cpp
+++ b/src/apps/crocuslane/timeline.cpp
@@ -23,6 +23,8 @@
 constexpr double plotWidth = 1200.0;
 constexpr double markRadius = 5.0;
 constexpr int tickCount = 8;
+/// Rows of labels above and below a lane.
+constexpr std::array labelOffsets{-10.0, 18.0, -22.0, 30.0};
 
 auto orderOf(const timeline_event &event)
 {
@@ -179,16 +181,33 @@
                               y,
                               markRadius,
                               colourOf(event.kind));
-        // Names of neighbouring events would overlap on one line.
-        constexpr std::array offsets{-10.0, 18.0, -22.0, 30.0};
-        const double offset = offsets[m_labelCounts[event.vm]++ % offsets.size()];
-        m_text += fmt::format(
-            "<text x=\"{:.1f}\" y=\"{}\" font-size=\"9\">{}</text></g>\n", x, y + offset, escaped(event.kind));
+        drawLabel(event, x, y);
+        m_text += "</g>\n";
+    }
+
+    /// Writes the kind of the event where it overlaps no other label; the mark's title names it in any case.
+    void drawLabel(const timeline_event &event, double x, double y)
+    {
+        constexpr double characterWidth = 5.5;
+        constexpr double gap = 6.0;
+        auto &ends = m_labelEnds[event.vm];
+        for (std::size_t slot = 0; slot < ends.size(); ++slot) {
+            if (x < ends[slot]) {
+                continue;
+            }
+            ends[slot] = x + characterWidth * static_cast<double>(event.kind.size()) + gap;
+            m_text += fmt::format("<text x=\"{:.1f}\" y=\"{}\" font-size=\"9\">{}</text>",
+                                  x,
+                                  y + labelOffsets[slot],
+                                  escaped(event.kind));
+            return;
+        }
     }
 
     const std::vector<timeline_event> &m_events;
     std::map<std::string, std::size_t> m_lanes;
-    std::map<std::string, std::size_t> m_labelCounts;
+    /// Where the last label of each row of a lane ends.
+    std::map<std::string, std::array<double, labelOffsets.size()>> m_labelEnds;
     std::int64_t m_begin = 0;
     std::int64_t m_end = 1;
     std::string m_text;
