Remove settings that the daemon doesn't read

Cause: five keys under [limits] were accepted without any effect; operators would have trusted them. Conclusion: each documented limit has an effect.

--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -172,17 +172,6 @@
                         settings.limits.connections = std::get<std::uint64_t>(value);
                     },
                     [](const daemon_settings &settings) { return std::to_string(settings.limits.connections); }},
-    setting_binding{"limits",
-                    {.key = "queued_requests",
-                     .type = value_type::integer,
-                     .defaultValue = "10000",
-                     .minimum = 1,
-                     .maximum = 1'000'000,
-                     .description = "Requests that wait for a runner at a time; more are refused with no_capacity."},
-                    [](daemon_settings &settings, const key_value &value) {
-                        settings.limits.queuedRequests = std::get<std::uint64_t>(value);
-                    },
-                    [](const daemon_settings &settings) { return std::to_string(settings.limits.queuedRequests); }},
     setting_binding{
         "limits",
         {.key = "freshness_s",
@@ -197,58 +186,6 @@
             settings.limits.freshnessSeconds = std::get<double>(value);
         },
         [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.freshnessSeconds); }},
-    setting_binding{"limits",
-                    {.key = "claim_window_s",
-                     .type = value_type::integer,
-                     .unit = "s",
-                     .defaultValue = "3600",
-                     .minimum = 60,
-                     .maximum = 604'800,
-                     .description =
-                         "Age up to which an idempotency key is valid. The log's retention must exceed it by more than "
-                         "60 s. The same on all entry VMs."},
-                    [](daemon_settings &settings, const key_value &value) {
-                        settings.limits.claimWindowSeconds = std::get<std::uint64_t>(value);
-                    },
-                    [](const daemon_settings &settings) { return std::to_string(settings.limits.claimWindowSeconds); }},
-    setting_binding{
-        "limits",
-        {.key = "appends_per_s",
-         .type = value_type::number,
-         .unit = "appends/s",
-         .defaultValue = "50",
-         .minimum = 1,
-         .maximum = 1000,
-         .description = "Appends of this VM to the log service, over all streams."},
-        [](daemon_settings &settings, const key_value &value) {
-            settings.limits.appendsPerSecond = std::get<double>(value);
-        },
-        [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.appendsPerSecond); }},
-    setting_binding{
-        "limits",
-        {.key = "entry_advice_s",
-         .type = value_type::number,
-         .unit = "s",
-         .defaultValue = "10",
-         .minimum = 1,
-         .maximum = 3600,
-         .description = "How long callers may keep the entry advice; a stopping VM serves for at least this long."},
-        [](daemon_settings &settings, const key_value &value) {
-            settings.limits.entryAdviceSeconds = std::get<double>(value);
-        },
-        [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.entryAdviceSeconds); }},
-    setting_binding{"limits",
-                    {.key = "drain_s",
-                     .type = value_type::number,
-                     .unit = "s",
-                     .defaultValue = "600",
-                     .minimum = 1,
-                     .maximum = 86'400,
-                     .description = "Longest time that a planned stop waits for streams in progress."},
-                    [](daemon_settings &settings, const key_value &value) {
-                        settings.limits.drainSeconds = std::get<double>(value);
-                    },
-                    [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.drainSeconds); }},
     setting_binding{"limits",
                     {.key = "timeline_events",
                      .type = value_type::integer,
@@ -612,7 +549,7 @@
           "- Every reference names a section of the text; a version's model and a group's organisation exist.\n"
           "- Dependencies of services have no cycle.\n"
           "- Operations belong to plain services, kinds to model services; a model service has models.\n"
-          "- A canary has a share and names an active version of the same model that it is to replace; the canaries of "
+          "- A canary has a share and names another version of the same model that it is to replace; the canaries of "
           "a\n  model have at most 100 percent together. Only a canary has a share.\n"
           "- Each organisation has an active allowed version for each model service that it may call.\n"
           "- Each caller group has a key of its own and bounds above 0; at least one group is an operator group.\n";
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -47,12 +47,7 @@
 struct limit_settings {
     std::uint64_t bodyBytes = 1'048'576;
     std::uint64_t connections = 10'000;
-    std::uint64_t queuedRequests = 10'000;
     double freshnessSeconds = 6.0;
-    std::uint64_t claimWindowSeconds = 3600;
-    double appendsPerSecond = 50.0;
-    double entryAdviceSeconds = 10.0;
-    double drainSeconds = 600.0;
     std::uint64_t timelineEvents = 20'000;
 };
 
--- a/src/libs/configuration/tests/settings_test.cpp
+++ b/src/libs/configuration/tests/settings_test.cpp
@@ -86,7 +86,7 @@
                                                  "[limit]\n"
                                                  "[limits]\n"
                                                  "body_bytes = 12.5\n",
-                                                 {{"limits", "drain_s", "soon"}});
+                                                 {{"limits", "freshness_s", "soon"}});
     std::vector<std::size_t> lines;
     for (const configuration_problem &problem : result.problems) {
         if (problem.code != problem_code::missing_key) {
