Restore the setting entry_advice_s

Cause: scripts/run-local sets it, and its daemons ended with exit code 2. Removing the line from the script was ruled out, because a local deployment wants to stop quickly. The default is the 5 s that the daemon uses now.

--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -186,6 +186,19 @@
             settings.limits.freshnessSeconds = std::get<double>(value);
         },
         [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.freshnessSeconds); }},
+    setting_binding{
+        "limits",
+        {.key = "entry_advice_s",
+         .type = value_type::number,
+         .unit = "s",
+         .defaultValue = "5",
+         .minimum = 1,
+         .maximum = 3600,
+         .description = "How long callers may keep the entry advice; a stopping VM serves for at least this long."},
+        [](daemon_settings &settings, const key_value &value) {
+            settings.limits.entryAdviceSeconds = std::get<double>(value);
+        },
+        [](const daemon_settings &settings) { return fmt::format("{}", settings.limits.entryAdviceSeconds); }},
     setting_binding{"limits",
                     {.key = "timeline_events",
                      .type = value_type::integer,
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -48,6 +48,7 @@
     std::uint64_t bodyBytes = 1'048'576;
     std::uint64_t connections = 10'000;
     double freshnessSeconds = 6.0;
+    double entryAdviceSeconds = 5.0;
     std::uint64_t timelineEvents = 20'000;
 };
 
