Start and cancel transfers that are asked for while data arrives

Cause: curl refuses to add or remove a transfer from inside its callbacks, and the result was ignored. A decision step that a token triggered lost the append that it sent: the writer of bills waited for good. A cancellation at that point freed a transfer that curl still used. Before: the new tests fail, one of them with a segmentation fault. Conclusion: such changes are carried out right after the callback.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -8,6 +8,8 @@
 
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace crocuslane {
 
@@ -30,6 +32,8 @@
         CURL *handle = nullptr;
         curl_slist *headers = nullptr;
         bool hasStatus = false;
+        /// Cancelled from inside a callback; released after it.
+        bool isCancelled = false;
         steady_time lastProgress;
         std::optional<timer_number> silenceTimer;
         private_data *owner = nullptr;
@@ -75,9 +79,24 @@
     {
         int running = 0;
         curl_multi_socket_action(multi, socket, events, &running);
+        applyDeferred();
         readResults();
     }
 
+    /// Carries out the starts and cancellations that came from inside a callback, where curl refuses them.
+    void applyDeferred()
+    {
+        for (const std::unique_ptr<transfer> &ended : std::exchange(cancelledInCallback, {})) {
+            release(*ended);
+        }
+        for (const transfer_number number : std::exchange(startedInCallback, {})) {
+            const auto found = transfers.find(number);
+            if (found != transfers.end()) {
+                curl_multi_add_handle(multi, found->second->handle);
+            }
+        }
+    }
+
     void readResults()
     {
         int left = 0;
@@ -108,7 +127,11 @@
     void finish(transfer_number number, transfer_result result, std::uint32_t status)
     {
         const std::unique_ptr<transfer> ended = take(number);
-        if (ended && ended->request.onEnd) {
+        if (!ended) {
+            return;
+        }
+        release(*ended);
+        if (ended->request.onEnd) {
             ended->request.onEnd(result, status);
         }
     }
@@ -124,12 +147,30 @@
         if (ended->silenceTimer) {
             loop.cancel(*ended->silenceTimer);
         }
-        curl_multi_remove_handle(multi, ended->handle);
-        curl_easy_cleanup(ended->handle);
-        curl_slist_free_all(ended->headers);
         return ended;
     }
 
+    void release(transfer &ended)
+    {
+        curl_multi_remove_handle(multi, ended.handle);
+        curl_easy_cleanup(ended.handle);
+        curl_slist_free_all(ended.headers);
+    }
+
+    void cancel(transfer_number number)
+    {
+        std::unique_ptr<transfer> cancelled = take(number);
+        if (!cancelled) {
+            return;
+        }
+        if (isInCallback) {
+            cancelled->isCancelled = true;
+            cancelledInCallback.push_back(std::move(cancelled));
+            return;
+        }
+        release(*cancelled);
+    }
+
     void watchSilence(transfer &watched)
     {
         const duration quiet = std::chrono::steady_clock::now() - watched.lastProgress;
@@ -189,6 +230,7 @@
             multiTimer.reset();
             int running = 0;
             curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            applyDeferred();
             readResults();
         });
     }
@@ -208,6 +250,12 @@
     static std::size_t writeCallback(char *data, std::size_t size, std::size_t count, void *pointer)
     {
         auto &current = *static_cast<transfer *>(pointer);
+        const std::size_t bytes = size * count;
+        if (current.isCancelled) {
+            return bytes;
+        }
+        private_data &owner = *current.owner;
+        owner.isInCallback = true;
         current.lastProgress = std::chrono::steady_clock::now();
         if (!current.hasStatus) {
             current.hasStatus = true;
@@ -217,10 +265,11 @@
                 current.request.onStatus(static_cast<std::uint32_t>(status));
             }
         }
-        if (current.request.onData) {
-            current.request.onData({data, size * count});
+        if (current.request.onData && !current.isCancelled) {
+            current.request.onData({data, bytes});
         }
-        return size * count;
+        owner.isInCallback = false;
+        return bytes;
     }
 
     event_loop &loop;
@@ -229,6 +278,9 @@
     std::map<transfer_number, std::unique_ptr<transfer>> transfers;
     std::map<curl_socket_t, std::unique_ptr<socket_watcher>> watchers;
     std::vector<std::unique_ptr<socket_watcher>> retiredWatchers;
+    bool isInCallback = false;
+    std::vector<std::unique_ptr<transfer>> cancelledInCallback;
+    std::vector<transfer_number> startedInCallback;
     std::optional<timer_number> multiTimer;
 };
 
@@ -245,8 +297,9 @@
 
 http_client::~http_client()
 {
+    d->applyDeferred();
     while (!d->transfers.empty()) {
-        d->take(d->transfers.begin()->first);
+        d->cancel(d->transfers.begin()->first);
     }
     curl_multi_cleanup(d->multi);
     curl_global_cleanup();
@@ -290,7 +343,11 @@
 
     const transfer_number number = transfer.number;
     d->transfers.emplace(number, std::move(created));
-    curl_multi_add_handle(d->multi, handle);
+    if (d->isInCallback) {
+        d->startedInCallback.push_back(number);
+    } else {
+        curl_multi_add_handle(d->multi, handle);
+    }
     if (content.silenceLimit > duration::zero()) {
         d->watchSilence(transfer);
     }
@@ -299,7 +356,7 @@
 
 void http_client::cancel(transfer_number transfer)
 {
-    d->take(transfer);
+    d->cancel(transfer);
 }
 
 } // namespace crocuslane
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -148,3 +148,58 @@
     exchangeOnce(request);
     CHECK(m_result == transfer_result::not_connected);
 }
+
+// Guards against a transfer that never starts, and so never ends, because it was asked for while data arrived: curl
+// refuses changes of its transfers from inside its callbacks.
+TEST_CASE_METHOD(http_fixture, "http client, start while data arrives, runs the transfer", "[net]")
+{
+    http_client_request second;
+    second.method = "POST";
+    second.address = m_address;
+    second.target = "/echo";
+    second.body = "second";
+    second.onData = [this](std::string_view data) { m_body += data; };
+    second.onEnd = [this](transfer_result result, std::uint32_t /*status*/) {
+        m_result = result;
+        m_loop.stop();
+    };
+    http_client_request first = second;
+    first.onData = [&](std::string_view /*data*/) { m_client.start(second); };
+    first.onEnd = {};
+    m_client.start(std::move(first));
+    // Ends the test where the second transfer never does.
+    m_loop.schedule(std::chrono::seconds(5), [this] { m_loop.stop(); });
+    m_loop.run();
+    CHECK(m_result == transfer_result::complete);
+    CHECK(m_body == "second");
+}
+
+// Guards against the use of a transfer after it was cancelled while data arrived.
+TEST_CASE_METHOD(http_fixture, "http client, cancel while data arrives, calls neither transfer again", "[net]")
+{
+    int calls = 0;
+    const auto count = [&calls](transfer_result /*result*/, std::uint32_t /*status*/) { ++calls; };
+    http_client_request silent;
+    silent.address = m_address;
+    silent.target = "/silent";
+    silent.onEnd = count;
+    const transfer_number other = m_client.start(silent);
+    http_client_request next = silent;
+    next.method = "POST";
+    next.target = "/echo";
+    next.body = "next";
+    next.onData = [this](std::string_view data) { m_body += data; };
+    next.onEnd = [this](transfer_result /*result*/, std::uint32_t /*status*/) { m_loop.stop(); };
+    http_client_request cancelled = next;
+    cancelled.onEnd = count;
+    transfer_number self = 0;
+    cancelled.onData = [&](std::string_view /*data*/) {
+        m_client.cancel(other);
+        m_client.cancel(self);
+        m_loop.schedule(std::chrono::milliseconds(50), [&] { m_client.start(next); });
+    };
+    self = m_client.start(cancelled);
+    m_loop.run();
+    CHECK(calls == 0);
+    CHECK(m_body == "next");
+}
