--- a/src/apps/crocuslane/curl_transport.cpp
+++ b/src/apps/crocuslane/curl_transport.cpp
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTimeout{1000};
+// The daemon answers a read at once. A VM that is paused, or that a partition cuts off, must not delay a view of the
+// others for long.
+constexpr std::chrono::milliseconds readTimeout{3000};
 // The daemon answers a publication within 10 s.
-constexpr std::chrono::milliseconds totalTimeout{15'000};
+constexpr std::chrono::milliseconds changeTimeout{15'000};
 constexpr int pollMilliseconds = 200;
 constexpr long connectionLimit = 64;
 constexpr std::size_t answerLimitBytes = 64UL * 1024 * 1024;
@@ -92,6 +95,11 @@
     }
 
 private:
+    static std::chrono::duration<long, std::milli> timeoutOf(const transport_request &request)
+    {
+        return request.method == "POST" ? changeTimeout : readTimeout;
+    }
+
     easy_pointer makeHandle(const transport_request &request, transport_reply &reply) const
     {
         easy_pointer handle(curl_easy_init());
@@ -102,7 +110,7 @@
         curl_easy_setopt(curl, CURLOPT_HTTPHEADER, m_headers.get());
         curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectTimeout.count()));
-        curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, static_cast<long>(totalTimeout.count()));
+        curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeoutOf(request).count());
         curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
         curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
         curl_easy_setopt(curl, CURLOPT_PRIVATE, &reply);
--- a/src/apps/crocuslane/operator_client.cpp
+++ b/src/apps/crocuslane/operator_client.cpp
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace crocuslane {
 
 namespace {
@@ -108,6 +110,9 @@
     for (const json &member : body.at("members")) {
         status.members.push_back(readMember(member));
     }
+    std::sort(status.members.begin(), status.members.end(), [](const vm_status &left, const vm_status &right) {
+        return left.id < right.id;
+    });
     status.plugins = dump(body.value("plugins", json::object()));
     return status;
 }
