--- /dev/null
+++ b/proofs/prove/decorators.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kernel/plugin.h"
+#include "services/version_chooser.h"
+
+namespace crocuslane {
+
+/// Stands in for the plug-in versions with a mechanism switched off; for controls.
+class careless_chooser : public plugin, public version_chooser
+{
+public:
+    careless_chooser(bool checksRights, bool keepsSessions);
+
+    std::string_view name() const override;
+    std::vector<std::string_view> dependencies() const override;
+    void initialize(plugin_context &context) override;
+    void handle(const event &event, action_list &actions) override;
+
+    std::variant<version_candidates, request_error> choose(const model_request &request, const caller &caller) override;
+    bool mayServe(const version_id &version, const organisation_id &organisation, bool isBoundBySession) const override;
+    std::string sessionToken(const model_request &request, const caller &caller, const version_id &version) override;
+    void observe(const answer_observation &observation) override;
+    std::uint64_t cost(const version_id &version, const token_usage &usage) const override;
+
+private:
+    bool m_checksRights;
+    bool m_keepsSessions;
+    plugin_context *m_context = nullptr;
+    version_chooser *m_real = nullptr;
+};
+
+} // namespace crocuslane
--- a/src/plugins/publication/publication_plugin.cpp
+++ b/src/plugins/publication/publication_plugin.cpp
@@ -22,7 +22,8 @@
 constexpr duration answerLimit = 10s;
 // Time for a snapshot to be read back before another one is due.
 constexpr duration snapshotInterval = 30s;
-constexpr duration largestSnapshotJitter = 30s;
+// VMs without the duty spread their snapshots over this part of the retention time.
+constexpr double snapshotJitterParts = 8.0;
 
 const plugin_registrar autoRegistrar("publication", []() -> std::unique_ptr<plugin> {
     return std::make_unique<publication_plugin>();
@@ -56,7 +57,7 @@
     }
     m_writer =
         std::make_unique<group_writer>(context.node, std::string(streamName), context.services.find<append_budget>());
-    m_snapshotJitter = fromSeconds(context.random.unit() * toSeconds(largestSnapshotJitter));
+    m_snapshotJitter = fromSeconds(context.random.unit() * toSeconds(m_settings.retention) / snapshotJitterParts);
     context.services.offer<configuration_source>(*this);
 }
 
@@ -265,6 +266,9 @@
         for (const member_state &state : delta->states) {
             noteVersion(peer, state.configurationVersion, actions);
         }
+        for (const member_sighting &sighting : delta->sightings) {
+            noteVersion(peer, sighting.configurationVersion, actions);
+        }
     } else if (const auto *request = std::get_if<configuration_fetch>(&message)) {
         if (m_fold.isAnchored() && m_fold.current() && m_fold.version() >= request->knownVersion) {
             actions.push_back(
