--- a/proofs/prove/scenarios.cpp
+++ b/proofs/prove/scenarios.cpp
@@ -77,6 +77,22 @@
     world.publish(vm, configurationText(state), world.versionAt(vm));
 }
 
+/// Most of the VMs that confirmed a version restart while the log is down, and meet only VMs that never heard of it.
+void scheduleRestartsInOutage(world &world)
+{
+    const duration start = between(world.random(), 8s, 12s);
+    world.at(start, [&world] { world.cut({0, 1}, 4s, true); });
+    for (const std::size_t vm : {2, 3, 4}) {
+        world.at(start + 1s + 300ms * static_cast<long>(vm), [&world, vm] { publishFrom(world, vm, "active"); });
+    }
+    world.at(start + 3800ms, [&world] { world.failLog(std::nullopt, 20s); });
+    world.at(start + 3900ms, [&world] {
+        world.kill(3, 500ms);
+        world.kill(4, 500ms);
+    });
+    world.at(start + 4100ms, [&world] { world.cut({2}, 18s, false); });
+}
+
 void schedulePublications(world &world, const scenario &scenario)
 {
     random_source &random = world.random();
@@ -117,7 +133,10 @@
             : std::string();
         const std::size_t vm = random.below(world.vmCount());
         const duration when = 3s + (activeTime - 3s) * static_cast<long>(index) / static_cast<long>(scenario.questions);
-        world.at(when, [&world, request, organisation, earlier, vm] { world.ask(request, organisation, earlier, vm); });
+        const std::string wanted = random.below(2) == 0 ? "small@2" : "";
+        world.at(when, [&world, request, organisation, earlier, vm, wanted] {
+            world.ask(request, organisation, earlier, vm, wanted);
+        });
     }
 }
 
@@ -169,6 +188,7 @@
         configuration.questions = 80;
         configuration.republishes = true;
         configuration.maximumKills = 3;
+        configuration.restartsInOutage = true;
         scenario &leases = add("leases", checkLeases, [](world_controls &off) {
             off.leases.checksClock = false;
             off.leases.waitsForExpiry = false;
@@ -191,7 +211,11 @@
     std::size_t killsLeft = scenario.maximumKills;
     schedulePublications(world, scenario);
     scheduleLoad(world, scenario);
-    scheduleFaults(world, killsLeft);
+    if (scenario.restartsInOutage && seed % 3 == 0) {
+        scheduleRestartsInOutage(world);
+    } else {
+        scheduleFaults(world, killsLeft);
+    }
     random_source &random = world.random();
     if (scenario.leaves) {
         const std::size_t runner = random.below(3);
--- a/proofs/prove/scenarios.h
+++ b/proofs/prove/scenarios.h
@@ -17,6 +17,8 @@
     bool withdraws = false;
     bool leaves = false;
     bool stops = false;
+    /// Every third history has restarts of most VMs during a log outage in place of random faults.
+    bool restartsInOutage = false;
     std::size_t maximumKills = 1;
     /// False for the extra rows that are no invariant of their own.
     bool isInvariant = true;
--- a/proofs/prove/world.cpp
+++ b/proofs/prove/world.cpp
@@ -104,6 +104,7 @@
         std::string key;
         std::string session;
         std::string lastVersion;
+        std::string wanted;
         std::size_t vm = 0;
         std::size_t tries = 0;
         std::uint32_t received = 0;
@@ -628,6 +629,9 @@
         asked.promptTokens = 10;
         asked.maximumTokens = 100;
         asked.sessionToken = caller.session;
+        if (!caller.wanted.empty() && caller.session.empty()) {
+            asked.wantedVersion = version_id(caller.wanted);
+        }
         asked.resumeFrom = caller.received;
         deliver(caller.vm, model_request_received{asked});
     }
@@ -940,11 +944,13 @@
 void world::ask(const std::string &request,
                 const std::string &organisation,
                 const std::string &sessionOf,
-                std::size_t vm)
+                std::size_t vm,
+                const std::string &wanted)
 {
     auto &caller = d->callers[request];
     caller.organisation = organisation;
     caller.vm = vm;
+    caller.wanted = wanted;
     const auto earlier = d->callers.find(sessionOf);
     if (earlier != d->callers.end()) {
         caller.session = earlier->second.session;
--- a/proofs/prove/world.h
+++ b/proofs/prove/world.h
@@ -63,8 +63,13 @@
     std::uint64_t versionAt(std::size_t vm) const;
     /// A call that may not be repeated; the caller tries up to three VMs with the same key.
     void call(const std::string &request, const std::string &key, std::size_t vm);
-    /// A model request of an organisation; repeated at other VMs with what was received.
-    void ask(const std::string &request, const std::string &organisation, const std::string &sessionOf, std::size_t vm);
+    /// A model request of an organisation; repeated at other VMs with what was received. @p wanted names a version, or
+    /// is empty.
+    void ask(const std::string &request,
+             const std::string &organisation,
+             const std::string &sessionOf,
+             std::size_t vm,
+             const std::string &wanted);
 
     // Faults. All but kill and leave end after @p length.
     void failLog(std::optional<std::size_t> vm, duration length);
