Report only confirmed versions to other VMs

A restarted VM reported the version that a peer gave it, and the table of members kept the highest version ever heard of a VM, so restarted VMs counted as a majority for an old version.

--- a/src/plugins/membership/member_table.cpp
+++ b/src/plugins/membership/member_table.cpp
@@ -44,9 +44,10 @@
         return;
     }
     member_record &record = m_records[id];
-    record.configurationVersion = std::max(record.configurationVersion, configurationVersion);
     if (!record.aliveAt || aliveAt >= *record.aliveAt) {
         record.aliveAt = aliveAt;
+        // Not the highest ever: a VM that restarted has forgotten what it confirmed.
+        record.configurationVersion = configurationVersion;
         record.isStopping = isStopping;
     }
 }
--- a/src/plugins/membership/membership_plugin.cpp
+++ b/src/plugins/membership/membership_plugin.cpp
@@ -106,6 +106,13 @@
         return source == nullptr ? 0 : source->version();
     }
 
+    /// What other VMs may count on; see configuration_source::confirmedVersion().
+    std::uint64_t confirmedVersion() const
+    {
+        const auto *source = m_context->services.tryFind<configuration_source>();
+        return source == nullptr ? 0 : source->confirmedVersion();
+    }
+
     bool takesRequests() const
     {
         const auto *source = m_context->services.tryFind<configuration_source>();
@@ -169,7 +176,7 @@
 void membership_plugin::sendHeartbeats(action_list &actions)
 {
     for (const vm_id &peer : m_connections->connectedPeers()) {
-        m_connections->sendHeartbeat(peer, ownVersion(), m_stopAt.has_value(), actions);
+        m_connections->sendHeartbeat(peer, confirmedVersion(), m_stopAt.has_value(), actions);
         m_exchange->charge(heartbeatBytes);
     }
 }
@@ -203,7 +210,7 @@
     state.id = m_context->node.id;
     state.incarnation = m_context->node.incarnation;
     state.counter = ++m_counter;
-    state.configurationVersion = ownVersion();
+    state.configurationVersion = confirmedVersion();
     state.isStopping = m_stopAt.has_value();
     if (m_logReadAt) {
         state.logReadAgeMilliseconds = std::chrono::ceil<std::chrono::milliseconds>(now() - *m_logReadAt).count();
@@ -299,7 +306,7 @@
 void membership_plugin::peerConnected(const vm_id &peer, action_list &actions)
 {
     m_connections->connected(peer);
-    m_connections->sendHeartbeat(peer, ownVersion(), m_stopAt.has_value(), actions);
+    m_connections->sendHeartbeat(peer, confirmedVersion(), m_stopAt.has_value(), actions);
     m_exchange->charge(heartbeatBytes);
     m_exchange->connected(peer, actions);
 }
