--- a/proofs/prove/checkers.cpp
+++ b/proofs/prove/checkers.cpp
@@ -45,6 +45,34 @@
 
 } // namespace
 
+std::string toText(const observation &seen)
+{
+    constexpr std::size_t shownText = 60;
+    static const std::vector<std::string> kinds = {"fault",
+                                                   "sent",
+                                                   "served",
+                                                   "call_run",
+                                                   "attempt_run",
+                                                   "token",
+                                                   "answered",
+                                                   "refused",
+                                                   "accepted",
+                                                   "in_force",
+                                                   "bill_logged",
+                                                   "bills_counted",
+                                                   "two_holders",
+                                                   "leaving",
+                                                   "stop_requested",
+                                                   "stopped",
+                                                   "killed"};
+    std::string line = describe(seen) + " " + kinds.at(static_cast<std::size_t>(seen.kind));
+    if (seen.kind == observation_kind::refused) {
+        line += " " + std::string(toName(seen.code)) + " " + std::string(toName(seen.execution));
+    }
+    return line + " number=" + std::to_string(seen.number) + " version=" + seen.version + " runner=" + seen.runner
+        + " text=" + seen.text.substr(0, shownText);
+}
+
 violation_list checkBooking(const history &history)
 {
     violation_list violations;
--- a/proofs/prove/history.h
+++ b/proofs/prove/history.h
@@ -8,6 +8,8 @@
 namespace crocuslane {
 
 enum class observation_kind {
+    /// A fault began; text names it.
+    fault,
     /// A caller sent a request to a VM.
     sent,
     /// A VM started to serve a new request; number is its configuration version.
@@ -57,4 +59,7 @@
 
 using history = std::vector<observation>;
 
+/// One line, time in seconds since the start.
+std::string toText(const observation &seen);
+
 } // namespace crocuslane
--- a/proofs/prove/main.cpp
+++ b/proofs/prove/main.cpp
@@ -91,6 +91,26 @@
     return violations == 0 && !hasIdleControl && invariants + effectiveControls > 0 ? 0 : 1;
 }
 
+/// Prints the history of one seed, for the search for the cause of a violation.
+int trace(const std::string &name, std::uint64_t seed, const std::string &request)
+{
+    for (const scenario &scenario : allScenarios()) {
+        if (name != scenario.name) {
+            continue;
+        }
+        const history_result result = runHistory(scenario, seed, false);
+        for (const observation &seen : result.observations) {
+            if (request.empty() || seen.request == request || seen.request.empty()) {
+                std::cout << toText(seen) << '\n';
+            }
+        }
+        for (const std::string &violation : result.violations) {
+            std::cout << violation << '\n';
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 int main(int argumentCount, char **arguments)
@@ -101,10 +121,12 @@
     std::string name;
     std::uint64_t seed = 1;
     std::size_t histories = fullHistories;
+    std::string traced;
     options::options_description description("prove [NAME] [--seed N] [--quick] [--histories N]");
     description.add_options()("help", "show this text")("name", options::value(&name), "invariant; all when absent")(
         "seed", options::value(&seed), "seed of the first history")("quick", "few histories, for CI")(
-        "histories", options::value(&histories), "histories per invariant");
+        "histories", options::value(&histories), "histories per invariant")(
+        "trace", options::value(&traced)->implicit_value(""), "print what one seed shows of a request, or all of it");
     options::positional_options_description positions;
     positions.add("name", 1);
     options::variables_map values;
@@ -124,5 +146,8 @@
     if (values.contains("quick")) {
         histories = quickHistories;
     }
+    if (values.contains("trace")) {
+        return trace(name, seed, traced);
+    }
     return prove(name, seed, histories);
 }
--- a/proofs/prove/scenarios.cpp
+++ b/proofs/prove/scenarios.cpp
@@ -243,6 +243,7 @@
     world.finish();
     history_result result;
     result.violations = scenario.check(world.observations());
+    result.observations = world.observations();
     result.events = world.events();
     result.faults = world.faults();
     result.answers = static_cast<std::uint64_t>(
--- a/proofs/prove/scenarios.h
+++ b/proofs/prove/scenarios.h
@@ -29,6 +29,7 @@
 
 struct history_result {
     violation_list violations;
+    history observations;
     std::uint64_t events = 0;
     std::uint64_t faults = 0;
     std::uint64_t answers = 0;
--- a/proofs/prove/world.h
+++ b/proofs/prove/world.h
@@ -89,7 +89,7 @@
 
 private:
     struct private_data;
-    std::unique_ptr<private_data> d;
+    std::unique_ptr<private_data> m_data;
 };
 
 /// Tokens of the whole answer to a request.
