Choose the runner by speed predicted from its requests in progress

Cause: the observed time per token lags behind the runner's occupancy, and the remaining work of long answers says little about the speed of a new short one. The observed speed is now freed of the slowdown that the requests in progress explain (3% each), and the score adds that slowdown for the present count.

--- a/measurements/harness/policies.cpp
+++ b/measurements/harness/policies.cpp
@@ -33,6 +33,16 @@
             baselinePolicy(workload, "two random choices", {baseline_kind::two_random_choices})};
 }
 
+std::vector<policy> allPolicies(const workload_parameters &workload, bool isProductOnly)
+{
+    std::vector<policy> policies{productPolicy(workload)};
+    if (!isProductOnly) {
+        const std::vector<policy> baselines = baselinePolicies(workload);
+        policies.insert(policies.end(), baselines.begin(), baselines.end());
+    }
+    return policies;
+}
+
 std::vector<std::vector<double>> measureSeeds(const std::vector<std::uint64_t> &seeds,
                                               const std::function<std::vector<double>(std::uint64_t seed)> &measure)
 {
--- a/measurements/harness/policies.h
+++ b/measurements/harness/policies.h
@@ -20,6 +20,8 @@
 
 policy productPolicy(const workload_parameters &workload);
 policy baselinePolicy(const workload_parameters &workload, std::string name, const baseline_options &options);
+/// The product first.
+std::vector<policy> allPolicies(const workload_parameters &workload, bool isProductOnly);
 /// Round robin, least reported load and two random choices.
 std::vector<policy> baselinePolicies(const workload_parameters &workload);
 
--- a/measurements/harness/report.cpp
+++ b/measurements/harness/report.cpp
@@ -10,7 +10,8 @@
 std::vector<std::uint64_t> measure_options::seeds(unsigned full, unsigned quick) const
 {
     std::vector<std::uint64_t> all;
-    for (unsigned index = 0; index < (isQuick ? quick : full); ++index) {
+    const unsigned count = seedCount > 0 ? seedCount : (isQuick ? quick : full);
+    for (unsigned index = 0; index < count; ++index) {
         all.push_back(firstSeed + index);
     }
     return all;
--- a/measurements/harness/report.h
+++ b/measurements/harness/report.h
@@ -13,6 +13,10 @@
     /// Fewer seeds and shorter runs.
     bool isQuick = false;
     bool isPlotting = false;
+    /// Leaves out the baselines; for work on the product's constants.
+    bool isProductOnly = false;
+    /// Instead of the measurement's own number of seeds; 0 for that.
+    unsigned seedCount = 0;
 
     std::vector<std::uint64_t> seeds(unsigned full, unsigned quick) const;
 };
--- a/measurements/measure/main.cpp
+++ b/measurements/measure/main.cpp
@@ -60,6 +60,8 @@
     visible.add_options()("help", "show this text")("name", po::value(&name)->required(), "measurement, or all")(
         "seed", po::value(&options.firstSeed)->default_value(1), "first seed")(
         "quick", po::bool_switch(&options.isQuick), "fewer seeds, shorter runs")(
+        "product-only", po::bool_switch(&options.isProductOnly), "leave out the baselines")(
+        "seeds", po::value(&options.seedCount)->default_value(0), "number of seeds; 0 for the measurement's own")(
         "plot", po::bool_switch(&options.isPlotting), "write SVG charts into the working directory");
     po::positional_options_description positional;
     positional.add("name", 1);
--- a/src/plugins/routing/routing_plugin.cpp
+++ b/src/plugins/routing/routing_plugin.cpp
@@ -33,7 +33,7 @@
 constexpr std::chrono::seconds shortestSilence{2};
 constexpr int silenceGaps = 20;
 // Prompt tokens are cheap to read compared with generating; the same share as in the choice of a runner.
-constexpr double promptTokenShare = 0.02;
+constexpr double promptTokenShare = 0.01;
 // Share of the regional link, which carries everything else too, that spilled requests may use.
 constexpr double spillBytesPerSecond = 500'000.0;
 constexpr double spillBurstBytes = 2'000'000.0;
@@ -153,7 +153,8 @@
             state->speed.touch(now());
             noteFirstToken(attempt);
         } else {
-            state->speed.addTokenGap(now() - attempt.lastToken, now());
+            const double inFlight = state->ownInFlight + state->othersInFlight(now());
+            state->speed.addTokenGap(now() - attempt.lastToken, runner_state::expectedSlowdown(inFlight), now());
         }
         ++attempt.tokens;
         attempt.lastToken = now();
@@ -189,7 +190,7 @@
         }
         state->failures = 0;
         if (ended.isPlainCall) {
-            state->speed.addTokenGap(now() - ended.started, now());
+            state->speed.addTokenGap(now() - ended.started, 1.0, now());
         }
     }
 
--- a/src/plugins/routing/runner_selector.cpp
+++ b/src/plugins/routing/runner_selector.cpp
@@ -11,10 +11,8 @@
 constexpr std::size_t prefixCandidates = 2;
 constexpr double tokensPerBlock = 64.0;
 // Reading a prompt token costs about this share of generating one.
-constexpr double promptTokenShare = 0.02;
+constexpr double promptTokenShare = 0.01;
 constexpr double keptShare = 0.25;
-// Assumed for requests of other VMs, whose lengths are not known here.
-constexpr double tokensPerRemoteRequest = 150.0;
 constexpr double defaultSecondsPerToken = 0.02;
 
 } // namespace
@@ -78,9 +76,10 @@
     const runner_state &state = m_table.at(candidate.index);
     const double cached = std::min<double>(request.work.promptTokens, candidate.cachedBlocks * tokensPerBlock);
     const double ownWork = promptTokenShare * (request.work.promptTokens - cached) + request.work.outputTokens;
-    const double waiting = state.ownRemainingTokens + state.othersInFlight(now) * tokensPerRemoteRequest;
-    const double speed = state.speed.secondsPerToken(now, state.ownStreaming).value_or(typicalSpeed);
-    return speed * (ownWork + waiting / std::max(1U, state.slots));
+    const double others = state.othersInFlight(now);
+    const double alone = state.speed.secondsPerToken(now, state.ownStreaming).value_or(typicalSpeed);
+    const double speed = alone * runner_state::expectedSlowdown(state.ownInFlight + others + 1.0);
+    return speed * ownWork;
 }
 
 std::optional<std::size_t>
--- a/src/plugins/routing/runner_state.cpp
+++ b/src/plugins/routing/runner_state.cpp
@@ -13,6 +13,8 @@
 // A runner that gets no requests shows no speed; its last slow observation fades, so that it is tried again.
 constexpr double fadeSeconds = 1.0;
 constexpr double loadFadeSeconds = 2.0;
+// Requests that run in one batch slow each other; engines lose about this share per further request.
+constexpr double slowdownPerRequest = 0.03;
 constexpr std::chrono::seconds historyLimit{5};
 constexpr std::chrono::milliseconds firstSuspension{500};
 constexpr std::chrono::seconds longestSuspension{8};
@@ -20,16 +22,19 @@
 
 } // namespace
 
-void speed_estimate::addTokenGap(duration gap, steady_time now)
+void speed_estimate::addTokenGap(duration gap, double slowdown, steady_time now)
 {
     const double seconds = toSeconds(gap);
+    const double alone = seconds / slowdown;
     if (m_samples == 0) {
-        m_recent = seconds;
-        m_typical = seconds;
+        m_recent = alone;
+        m_typical = alone;
+        m_recentGap = seconds;
     }
     ++m_samples;
-    m_recent += recentWeight * (seconds - m_recent);
-    m_typical += std::max(typicalWeight, 1.0 / m_samples) * (seconds - m_typical);
+    m_recent += recentWeight * (alone - m_recent);
+    m_recentGap += recentWeight * (seconds - m_recentGap);
+    m_typical += std::max(typicalWeight, 1.0 / m_samples) * (alone - m_typical);
     m_lastSample = now;
 }
 
@@ -45,14 +50,15 @@
     }
     const double silence = toSeconds(now - m_lastSample);
     if (streams > 0) {
-        return std::max(m_recent, silence);
+        // Silence up to a usual gap says nothing.
+        return silence > 2.0 * m_recentGap ? std::max(m_recent, silence / 2.0) : m_recent;
     }
     return m_typical + (m_recent - m_typical) * std::exp(-silence / fadeSeconds);
 }
 
 duration speed_estimate::typicalGap() const
 {
-    return fromSeconds(std::max(m_recent, m_typical));
+    return fromSeconds(std::max(m_recentGap, m_typical));
 }
 
 bool runner_state::isLeaving() const
@@ -107,6 +113,11 @@
     return after == ownHistory.begin() ? 0 : std::prev(after)->second;
 }
 
+double runner_state::expectedSlowdown(double inFlight)
+{
+    return 1.0 + slowdownPerRequest * std::max(0.0, inFlight - 1.0);
+}
+
 void runner_state::applyReport(const runner_load &load, steady_time now)
 {
     hasReport = true;
--- a/src/plugins/routing/runner_state.h
+++ b/src/plugins/routing/runner_state.h
@@ -13,9 +13,10 @@
 class speed_estimate
 {
 public:
-    void addTokenGap(duration gap, steady_time now);
-    /// Seconds per token; nothing when never observed. @p streams is the number of own answers in progress: their
-    /// silence shows a slow runner before the next token does.
+    /// @p slowdown is the part that the requests in progress explain, see runner_state::expectedSlowdown().
+    void addTokenGap(duration gap, double slowdown, steady_time now);
+    /// Seconds per token of a runner without other requests; nothing when never observed. @p streams is the number of
+    /// own answers in progress: their silence shows a slow runner before the next token does.
     std::optional<double> secondsPerToken(steady_time now, unsigned streams) const;
     /// A token came or an answer began, so that silence counts from now.
     void touch(steady_time now);
@@ -24,6 +25,7 @@
 private:
     double m_recent = 0.0;
     double m_typical = 0.0;
+    double m_recentGap = 0.0;
     unsigned m_samples = 0;
     steady_time m_lastSample;
 };
@@ -72,6 +74,8 @@
     /// Estimated requests of other entry VMs in progress, discounted by age.
     double othersInFlight(steady_time now) const;
     unsigned ownInFlightAt(steady_time when) const;
+    /// Factor by which @p inFlight requests in progress slow each other.
+    static double expectedSlowdown(double inFlight);
 
     void applyReport(const runner_load &load, steady_time now);
     void changeOwn(int change, steady_time now);
