Allow for reading the prompt before an attempt counts as silent

Cause: a prompt of 10,000 tokens takes longer than 2 s to read, so its attempt was ended and repeated although its runner worked. The picker's silenceLimit() now takes the work, and allows five times the observed time per prompt token.

--- a/measurements/harness/baseline_pickers.cpp
+++ b/measurements/harness/baseline_pickers.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t hedgeMinimumSamples = 40;
 constexpr double hedgeQuantile = 0.95;
 constexpr std::chrono::seconds silence{2};
+// As long as the product allows before it has observed any.
+constexpr std::chrono::milliseconds timePerPromptToken{2};
 
 class baseline_picker : public plugin, public runner_picker
 {
@@ -132,9 +134,9 @@
         return true;
     }
 
-    duration silenceLimit(const runner_id & /*runner*/) const override
+    duration silenceLimit(const runner_id & /*runner*/, const work_estimate &work) const override
     {
-        return silence;
+        return std::max<duration>(silence, work.promptTokens * timePerPromptToken);
     }
 
     std::vector<runner_use> localUse() const override
--- a/src/libs/services/runner_picker.h
+++ b/src/libs/services/runner_picker.h
@@ -55,8 +55,8 @@
     /// Takes from the budget for extra work; false when it is used up.
     virtual bool spendHedge(const work_estimate &work) = 0;
     virtual bool spendRetry() = 0;
-    /// Time without a token after which an attempt counts as lost.
-    virtual duration silenceLimit(const runner_id &runner) const = 0;
+    /// Time without a token after which an attempt counts as lost. It leaves time for reading a long prompt.
+    virtual duration silenceLimit(const runner_id &runner, const work_estimate &work) const = 0;
     /// Requests of this VM in progress per runner, to be sent to the other entry VMs.
     virtual std::vector<runner_use> localUse() const = 0;
     virtual void setRemoteUse(const vm_id &vm, const std::vector<runner_use> &use) = 0;
--- a/src/plugins/requests/model_flow.cpp
+++ b/src/plugins/requests/model_flow.cpp
@@ -212,7 +212,7 @@
                                     pick.version,
                                     run.nextIndex,
                                     priorityOf(run.work),
-                                    picker.silenceLimit(choice.runner)});
+                                    picker.silenceLimit(choice.runner, run.work)});
     m_environment.context.timeline.record(timeline_kind::attempt_started,
                                           request,
                                           "runner=" + choice.runner.value() + " version=" + pick.version.value());
--- a/src/plugins/routing/routing_plugin.cpp
+++ b/src/plugins/routing/routing_plugin.cpp
@@ -32,6 +32,11 @@
 constexpr std::chrono::milliseconds shortestHedgeDelay{20};
 constexpr std::chrono::seconds shortestSilence{2};
 constexpr int silenceGaps = 20;
+// A prompt may take this many times the observed time per token of long prompts before the runner counts as silent.
+constexpr double silencePrompts = 5.0;
+constexpr double initialSecondsPerPromptToken = 0.0004;
+constexpr std::uint32_t observedPromptTokens = 512;
+constexpr double promptWeight = 0.05;
 // Prompt tokens are cheap to read compared with generating; the same share as in the choice of a runner.
 constexpr double promptTokenShare = 0.01;
 // Share of the regional link, which carries everything else too, that spilled requests may use.
@@ -227,13 +232,12 @@
         return m_retryBudget.take(1.0);
     }
 
-    duration silenceLimit(const runner_id &runner) const override
+    duration silenceLimit(const runner_id &runner, const work_estimate &work) const override
     {
+        const duration prompt = fromSeconds(silencePrompts * m_secondsPerPromptToken * work.promptTokens);
+        const duration limit = std::max<duration>(shortestSilence, prompt);
         const std::optional<std::size_t> index = m_table->indexOf(runner);
-        if (!index) {
-            return shortestSilence;
-        }
-        return std::max<duration>(shortestSilence, m_table->at(*index).speed.typicalGap() * silenceGaps);
+        return index ? std::max<duration>(limit, m_table->at(*index).speed.typicalGap() * silenceGaps) : limit;
     }
 
     std::vector<runner_use> localUse() const override
@@ -280,6 +284,10 @@
 
     void noteFirstToken(const attempt &attempt)
     {
+        if (attempt.work.promptTokens >= observedPromptTokens) {
+            const double seconds = toSeconds(now() - attempt.started) / attempt.work.promptTokens;
+            m_secondsPerPromptToken += promptWeight * (seconds - m_secondsPerPromptToken);
+        }
         if (attempt.work.isLong) {
             return;
         }
@@ -310,6 +318,7 @@
     quantile_window m_firstTokenSeconds{hedgeWindow};
     unsigned m_firstTokens = 0;
     std::optional<duration> m_hedgeDelay;
+    double m_secondsPerPromptToken = initialSecondsPerPromptToken;
     token_bucket m_hedgeBudget{hedgeCapacityTokens, hedgeInitialTokens};
     token_bucket m_retryBudget{retryCapacity, retryInitial};
     token_bucket m_spillBudget{spillBurstBytes, spillBurstBytes};
