--- a/measurements/harness/deployment.h
+++ b/measurements/harness/deployment.h
@@ -29,6 +29,8 @@
     /// Age of what a VM hears of another VM's use: one exchange.
     duration exchangeDelay = std::chrono::milliseconds(500);
     duration vmListLag = std::chrono::seconds(5);
+    /// The routers get no prefix hashes, so that they place requests without regard to caches.
+    bool isCacheBlind = false;
 };
 
 /// Six entry VMs and nine runners in three availability zones, of which two are in the same region.
--- a/measurements/harness/simulation.cpp
+++ b/measurements/harness/simulation.cpp
@@ -17,6 +17,9 @@
 /// Reading a prompt token costs this share of generating one; both times are engine settings.
 constexpr double prefillShare = 0.01;
 constexpr unsigned attemptBits = 40;
+constexpr std::uint64_t bytesPerPromptToken = 4;
+/// A streamed token travels as one event with its JSON frame.
+constexpr std::uint64_t bytesPerOutputToken = 180;
 
 class discarding_timeline : public timeline_recorder
 {
@@ -206,7 +209,7 @@
     std::vector<vm_state> m_vms;
     std::vector<request_outcome> m_outcomes;
     std::uint64_t m_attemptsStarted = 0;
-    std::uint64_t m_attemptsBetweenRegions = 0;
+    std::uint64_t m_bytesBetweenRegions = 0;
 
 private:
     void
@@ -215,6 +218,11 @@
         m_items.push({std::max(time, now()), m_nextSequence++, kind, subject, index, count});
     }
 
+    bool isBetweenRegions(const attempt_record &attempt) const
+    {
+        return m_vms[attempt.vm].location.region != m_runners[attempt.runner].location.region;
+    }
+
     duration delay(const attempt_record &attempt) const
     {
         return delay(attempt.vm, attempt.runner);
@@ -315,7 +323,9 @@
         received.service = m_deployment.service;
         received.kind = kind_id(m_workload.kinds[request.kind].id);
         received.promptTokens = request.promptTokens;
-        received.prefixHashes = request.prefixHashes;
+        if (!m_deployment.isCacheBlind) {
+            received.prefixHashes = request.prefixHashes;
+        }
         handle(request.vm, model_request_received{std::move(received)});
     }
 
@@ -357,8 +367,8 @@
         attempt.lastActivity = now();
         ++m_outcomes[request].attempts;
         ++m_attemptsStarted;
-        if (m_vms[vm].location.region != m_runners[attempt.runner].location.region) {
-            ++m_attemptsBetweenRegions;
+        if (isBetweenRegions(attempt)) {
+            m_bytesBetweenRegions += bytesPerPromptToken * (*m_requests)[request].promptTokens;
         }
         schedule(now() + delay(attempt), item_kind::submit, number);
         schedule(now() + attempt.silenceLimit, item_kind::silence_check, number);
@@ -547,6 +557,9 @@
         switch (next.kind) {
         case item_kind::token:
             attempt.lastActivity = now();
+            if (isBetweenRegions(attempt)) {
+                m_bytesBetweenRegions += bytesPerOutputToken * next.count;
+            }
             for (std::uint32_t offset = 0; offset < next.count; ++offset) {
                 handle(vm, token_received{number, next.index + offset, {}});
             }
@@ -760,9 +773,9 @@
     return m_implementation->m_attemptsStarted;
 }
 
-std::uint64_t simulation::attemptsBetweenRegions() const
+std::uint64_t simulation::bytesBetweenRegions() const
 {
-    return m_implementation->m_attemptsBetweenRegions;
+    return m_implementation->m_bytesBetweenRegions;
 }
 
 plugin_setup productSetup(const workload_parameters &workload, const std::vector<version_id> &versions)
--- a/measurements/harness/simulation.h
+++ b/measurements/harness/simulation.h
@@ -64,7 +64,8 @@
     /// Tokens passed to callers.
     std::uint64_t deliveredTokens() const;
     std::uint64_t attemptsStarted() const;
-    std::uint64_t attemptsBetweenRegions() const;
+    /// Prompts and tokens of attempts at runners of another region.
+    std::uint64_t bytesBetweenRegions() const;
 
 private:
     class implementation;
