--- a/src/plugins/routing/runner_state.cpp
+++ b/src/plugins/routing/runner_state.cpp
@@ -16,6 +16,8 @@
 // Requests that run in one batch slow each other; engines lose about this share per further request.
 constexpr double slowdownPerRequest = 0.03;
 constexpr std::chrono::seconds historyLimit{5};
+// The older half is dropped at once, so that a change costs the same however many there were.
+constexpr std::size_t historyCheckSize = 32;
 constexpr std::chrono::milliseconds firstSuspension{500};
 constexpr std::chrono::seconds longestSuspension{8};
 constexpr std::chrono::milliseconds rejectedSuspension{100};
@@ -132,9 +134,10 @@
 {
     ownInFlight = static_cast<unsigned>(static_cast<int>(ownInFlight) + change);
     ownHistory.emplace_back(now, ownInFlight);
-    while (ownHistory.size() > 1 && ownHistory[1].first < now - historyLimit) {
-        ownHistory.pop_front();
+    if (ownHistory.size() < historyCheckSize || ownHistory[ownHistory.size() / 2].first > now - historyLimit) {
+        return;
     }
+    ownHistory.erase(ownHistory.begin(), ownHistory.begin() + static_cast<std::ptrdiff_t>(ownHistory.size() / 2));
 }
 
 void runner_state::noteFailure(attempt_failure failure, steady_time now)
--- a/src/plugins/routing/runner_state.h
+++ b/src/plugins/routing/runner_state.h
@@ -3,7 +3,6 @@
 #include "kernel/peer_message.h"
 #include "kernel/types.h"
 
-#include <deque>
 #include <map>
 #include <set>
 
@@ -62,7 +61,8 @@
     unsigned ownInFlight = 0;
     unsigned ownStreaming = 0;
     double ownRemainingTokens = 0.0;
-    std::deque<std::pair<steady_time, unsigned>> ownHistory;
+    /// Changes of ownInFlight; a vector, because an empty one needs no memory and most runners are never used.
+    std::vector<std::pair<steady_time, unsigned>> ownHistory;
     speed_estimate speed;
     unsigned failures = 0;
     steady_time suspendedUntil;
