Send no hedge while requests wait at this router

Cause: during an outage the first tokens are late everywhere, so hedges were sent to runners that had no slot to spare.

--- a/src/plugins/requests/model_flow.cpp
+++ b/src/plugins/requests/model_flow.cpp
@@ -250,7 +250,8 @@
 
 void model_flow::hedge(run &run, action_list &actions)
 {
-    if (run.hasHedged || hasForwarded(run) || run.attempts.size() != 1) {
+    // While requests wait, a second attempt would only take the slot that one of them needs.
+    if (run.hasHedged || hasForwarded(run) || run.attempts.size() != 1 || m_environment.queue.size() > 0) {
         return;
     }
     if (!m_environment.services.versions->mayServe(
