Send each name once per connection

Cause: names of VMs, groups and runners take most bytes of a state. envelope_encoder and envelope_decoder number the names of a connection; encodeEnvelope and decodeEnvelope remain for messages that stand for themselves.

--- a/measurements/harness/control_exchange.cpp
+++ b/measurements/harness/control_exchange.cpp
@@ -142,7 +142,7 @@
         return false;
     }
 
-    duration silenceLimit(const runner_id & /*runner*/) const override
+    duration silenceLimit(const runner_id & /*runner*/, const work_estimate & /*work*/) const override
     {
         return {};
     }
@@ -285,12 +285,13 @@
 
     void count(std::size_t from, std::size_t to, const peer_message &message)
     {
+        const vm_id sender(m_list[from].id);
+        const hybrid_time time{unixMilliseconds(m_clock.systemNow()), 1};
+        const std::string frame =
+            encodeFrame(m_encoders[{from, to}].encode({sender, 1, time, message}).value()).value();
         if (!m_isCounting) {
             return;
         }
-        const vm_id sender(m_list[from].id);
-        const hybrid_time time{unixMilliseconds(m_clock.systemNow()), 1};
-        const std::string frame = encodeFrame(encodeEnvelope({sender, 1, time, message}).value()).value();
         m_vms[from]->bytes += static_cast<double>(frame.size());
         if (m_vms[from]->region != m_vms[to]->region) {
             m_vms[from]->regionalBytes += static_cast<double>(frame.size());
@@ -355,6 +356,7 @@
     std::vector<std::unique_ptr<measured_vm>> m_vms;
     std::map<vm_id, std::size_t> m_indexes;
     std::priority_queue<arrival, std::vector<arrival>, std::greater<>> m_arrivals;
+    std::map<std::pair<std::size_t, std::size_t>, envelope_encoder> m_encoders;
     std::uint64_t m_sequence = 0;
     bool m_isCounting = false;
     std::vector<double> m_ages;
--- a/src/libs/edge/peer_network.cpp
+++ b/src/libs/edge/peer_network.cpp
@@ -178,6 +178,12 @@
             [] {});
     }
 
+    /// Encoded for this connection: every payload must be sent.
+    leaf::result<std::string> encode(const envelope &envelope)
+    {
+        return m_envelopeEncoder.encode(envelope);
+    }
+
     void flush()
     {
         while (!m_pending.empty() && m_isConnected && !m_isClosed) {
@@ -248,7 +254,7 @@
 
     leaf::result<void> takeEnvelope(const std::string &frame)
     {
-        BOOST_LEAF_AUTO(received, decodeEnvelope(frame));
+        BOOST_LEAF_AUTO(received, m_envelopeDecoder.decode(frame));
         if (received.sender != m_handshake.peer().id) {
             return leaf::new_error(wire_error{wire_fault::wrong_sender, received.sender.value()});
         }
@@ -262,6 +268,8 @@
     std::optional<vm_id> m_expected;
     peer_handshake m_handshake;
     frame_decoder m_decoder;
+    envelope_encoder m_envelopeEncoder;
+    envelope_decoder m_envelopeDecoder;
     std::string m_pending;
     std::optional<timer_number> m_handshakeTimer;
     bool m_isConnected = false;
@@ -397,7 +405,7 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(
                 payload,
-                encodeEnvelope(
+                target.encode(
                     {d->context.node.id, d->context.node.incarnation, d->context.time.now(), action.message}));
             target.queueFrame(payload);
             target.flush();
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/buffer_checks.h"
 #include "wire/envelope_generated.hpp"
+#include "wire/frame_codec.h"
 #include "wire/log_scale.h"
 #include "wire/name_list.h"
 
@@ -45,7 +46,7 @@
     return milliseconds < 0 ? 0 : static_cast<std::uint64_t>(milliseconds);
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const heartbeat &message)
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const heartbeat &message)
 {
     return encoded(
         wire::message::heartbeat,
@@ -53,9 +54,9 @@
             builder, message.sequence, message.configurationVersion, message.isStopping, message.echoedSequence));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const exchange_digest &message)
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer &names, const exchange_digest &message)
 {
-    name_list_writer names;
     std::vector<wire::digest_entry> entries;
     for (const exchange_digest::entry &entry : message.entries) {
         BOOST_LEAF_AUTO(name, names.add(entry.id.value()));
@@ -127,9 +128,8 @@
     return encoded;
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const exchange_delta &message)
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, name_list_writer &names, const exchange_delta &message)
 {
-    name_list_writer names;
     std::vector<Offset<wire::member_state>> states;
     for (const member_state &state : message.states) {
         BOOST_LEAF_AUTO(offset, encodeState(builder, names, state));
@@ -147,7 +147,7 @@
                    wire::Createexchange_delta(builder, nameList, stateVector, sightingVector, newestVersion));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy &message)
+leaf::result<encoded_message> encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const bill_copy &message)
 {
     const bill &bill = message.content;
     const auto request = builder.CreateString(bill.request.value());
@@ -171,24 +171,28 @@
                                          bill.unixMilliseconds));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy_acknowledged &message)
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const bill_copy_acknowledged &message)
 {
     const auto request = builder.CreateString(message.request.value());
     return encoded(wire::message::bill_copy_acknowledged, wire::Createbill_copy_acknowledged(builder, request));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const bill_copy_released &message)
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const bill_copy_released &message)
 {
     const auto request = builder.CreateString(message.request.value());
     return encoded(wire::message::bill_copy_released, wire::Createbill_copy_released(builder, request));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const configuration_fetch &message)
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const configuration_fetch &message)
 {
     return encoded(wire::message::configuration_fetch, wire::Createconfiguration_fetch(builder, message.knownVersion));
 }
 
-leaf::result<encoded_message> encode(FlatBufferBuilder &builder, const configuration_text &message)
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const configuration_text &message)
 {
     const auto text = builder.CreateString(message.text);
     return encoded(wire::message::configuration_text,
@@ -202,15 +206,17 @@
     return vector == nullptr ? 0 : vector->size();
 }
 
-leaf::result<peer_message> decode(const wire::heartbeat &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::heartbeat &message)
 {
     return heartbeat{
         message.sequence(), message.configuration_version(), message.is_stopping(), message.echoed_sequence()};
 }
 
-leaf::result<peer_message> decode(const wire::exchange_digest &message)
+leaf::result<peer_message> decode(name_list_reader &names, const wire::exchange_digest &message)
 {
-    BOOST_LEAF_AUTO(names, name_list_reader::make(*message.names()));
+    if (auto taken = names.take(*message.names()); !taken) {
+        return taken.error();
+    }
     exchange_digest digest;
     digest.configurationVersion = message.configuration_version();
     for (std::size_t index = 0; index < sizeOf(message.entries()); ++index) {
@@ -252,9 +258,11 @@
     return state;
 }
 
-leaf::result<peer_message> decode(const wire::exchange_delta &message)
+leaf::result<peer_message> decode(name_list_reader &names, const wire::exchange_delta &message)
 {
-    BOOST_LEAF_AUTO(names, name_list_reader::make(*message.names()));
+    if (auto taken = names.take(*message.names()); !taken) {
+        return taken.error();
+    }
     exchange_delta delta;
     for (std::size_t index = 0; index < sizeOf(message.states()); ++index) {
         BOOST_LEAF_AUTO(state, decodeState(names, *message.states()->Get(index)));
@@ -274,7 +282,7 @@
     return delta;
 }
 
-leaf::result<peer_message> decode(const wire::bill_copy &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::bill_copy &message)
 {
     for (const auto *field : {message.request(),
                               message.organisation(),
@@ -299,7 +307,7 @@
     return bill_copy{std::move(bill)};
 }
 
-leaf::result<peer_message> decode(const wire::bill_copy_acknowledged &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::bill_copy_acknowledged &message)
 {
     if (!isValidText(message.request()->string_view())) {
         return invalid("request id is not UTF-8");
@@ -307,7 +315,7 @@
     return bill_copy_acknowledged{request_id(message.request()->str())};
 }
 
-leaf::result<peer_message> decode(const wire::bill_copy_released &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::bill_copy_released &message)
 {
     if (!isValidText(message.request()->string_view())) {
         return invalid("request id is not UTF-8");
@@ -315,12 +323,12 @@
     return bill_copy_released{request_id(message.request()->str())};
 }
 
-leaf::result<peer_message> decode(const wire::configuration_fetch &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::configuration_fetch &message)
 {
     return configuration_fetch{message.known_version()};
 }
 
-leaf::result<peer_message> decode(const wire::configuration_text &message)
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::configuration_text &message)
 {
     if (!isValidText(message.text()->string_view())) {
         return invalid("configuration text is not UTF-8");
@@ -328,25 +336,25 @@
     return configuration_text{message.version(), message.as_of(), message.text()->str()};
 }
 
-leaf::result<peer_message> decodeMessage(const wire::envelope &envelope)
+leaf::result<peer_message> decodeMessage(name_list_reader &names, const wire::envelope &envelope)
 {
     switch (envelope.message_type()) {
     case wire::message::heartbeat:
-        return decode(*envelope.message_as_heartbeat());
+        return decode(names, *envelope.message_as_heartbeat());
     case wire::message::exchange_digest:
-        return decode(*envelope.message_as_exchange_digest());
+        return decode(names, *envelope.message_as_exchange_digest());
     case wire::message::exchange_delta:
-        return decode(*envelope.message_as_exchange_delta());
+        return decode(names, *envelope.message_as_exchange_delta());
     case wire::message::bill_copy:
-        return decode(*envelope.message_as_bill_copy());
+        return decode(names, *envelope.message_as_bill_copy());
     case wire::message::bill_copy_acknowledged:
-        return decode(*envelope.message_as_bill_copy_acknowledged());
+        return decode(names, *envelope.message_as_bill_copy_acknowledged());
     case wire::message::bill_copy_released:
-        return decode(*envelope.message_as_bill_copy_released());
+        return decode(names, *envelope.message_as_bill_copy_released());
     case wire::message::configuration_fetch:
-        return decode(*envelope.message_as_configuration_fetch());
+        return decode(names, *envelope.message_as_configuration_fetch());
     case wire::message::configuration_text:
-        return decode(*envelope.message_as_configuration_text());
+        return decode(names, *envelope.message_as_configuration_text());
     case wire::message::NONE:
         break;
     }
@@ -355,13 +363,11 @@
         wire_error{wire_fault::unknown_message, "type=" + std::to_string(static_cast<int>(envelope.message_type()))});
 }
 
-} // namespace
-
-leaf::result<std::string> encodeEnvelope(const envelope &envelope)
+leaf::result<std::string> encodePayload(name_list_writer &names, const envelope &envelope)
 {
     FlatBufferBuilder builder;
     BOOST_LEAF_AUTO(message,
-                    std::visit([&builder](const auto &content) { return encode(builder, content); }, envelope.message));
+                    std::visit([&](const auto &content) { return encode(builder, names, content); }, envelope.message));
     const auto sender = builder.CreateString(envelope.sender.value());
     wire::FinishenvelopeBuffer(builder,
                                wire::Createenvelope(builder,
@@ -375,7 +381,39 @@
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
-leaf::result<envelope> decodeEnvelope(std::string_view payload)
+} // namespace
+
+envelope_encoder::envelope_encoder()
+    : m_names(std::make_unique<name_list_writer>())
+{
+}
+
+envelope_encoder::~envelope_encoder() = default;
+
+leaf::result<std::string> envelope_encoder::encode(const envelope &envelope)
+{
+    m_names->begin();
+    leaf::result<std::string> payload = encodePayload(*m_names, envelope);
+    if (!payload) {
+        m_names->reset();
+        return payload;
+    }
+    if (payload.value().size() > maximumFrameBytes) {
+        m_names->reset();
+        return leaf::new_error(
+            wire_error{wire_fault::frame_too_large, "bytes=" + std::to_string(payload.value().size())});
+    }
+    return payload;
+}
+
+envelope_decoder::envelope_decoder()
+    : m_names(std::make_unique<name_list_reader>())
+{
+}
+
+envelope_decoder::~envelope_decoder() = default;
+
+leaf::result<envelope> envelope_decoder::decode(std::string_view payload)
 {
     BOOST_LEAF_AUTO(buffer, verified_buffer<wire::envelope>::make(payload, wire::envelopeIdentifier()));
     if (buffer->protocol_version() != wireProtocolVersion) {
@@ -385,11 +423,21 @@
     if (!isValidText(buffer->sender()->string_view())) {
         return leaf::new_error(wire_error{wire_fault::invalid_value, "sender id is not UTF-8"});
     }
-    BOOST_LEAF_AUTO(message, decodeMessage(*buffer));
+    BOOST_LEAF_AUTO(message, decodeMessage(*m_names, *buffer));
     return envelope{vm_id(buffer->sender()->str()),
                     buffer->incarnation(),
                     {buffer->time_ms(), buffer->time_logical()},
                     std::move(message)};
 }
 
+leaf::result<std::string> encodeEnvelope(const envelope &envelope)
+{
+    return envelope_encoder().encode(envelope);
+}
+
+leaf::result<envelope> decodeEnvelope(std::string_view payload)
+{
+    return envelope_decoder().decode(payload);
+}
+
 } // namespace crocuslane
--- a/src/libs/wire/envelope_codec.h
+++ b/src/libs/wire/envelope_codec.h
@@ -4,11 +4,15 @@
 #include "kernel/peer_message.h"
 #include "wire/wire_error.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace crocuslane {
 
+class name_list_reader;
+class name_list_writer;
+
 /// Raised with every change that an older process would misread.
 constexpr std::uint16_t wireProtocolVersion = 1;
 
@@ -20,9 +24,41 @@
     peer_message message;
 };
 
-/// Payload of one frame. Fails with wire_error when an id is too long for the format.
+/// Encodes the messages to one peer. They must all arrive, in this order: ids are sent in full only once.
+class envelope_encoder
+{
+public:
+    envelope_encoder();
+    ~envelope_encoder();
+    envelope_encoder(const envelope_encoder &) = delete;
+    envelope_encoder &operator=(const envelope_encoder &) = delete;
+
+    /// Payload of one frame. Fails with wire_error when an id or the whole message is too long for the format; the
+    /// peer then misses this message only.
+    leaf::result<std::string> encode(const envelope &envelope);
+
+private:
+    std::unique_ptr<name_list_writer> m_names;
+};
+
+/// Decodes the messages of one envelope_encoder.
+class envelope_decoder
+{
+public:
+    envelope_decoder();
+    ~envelope_decoder();
+    envelope_decoder(const envelope_decoder &) = delete;
+    envelope_decoder &operator=(const envelope_decoder &) = delete;
+
+    /// Fails with wire_error; every byte is checked before use.
+    leaf::result<envelope> decode(std::string_view payload);
+
+private:
+    std::unique_ptr<name_list_reader> m_names;
+};
+
+/// A message that stands for itself: the first one of an envelope_encoder.
 leaf::result<std::string> encodeEnvelope(const envelope &envelope);
-/// Fails with wire_error; every byte is checked before use.
 leaf::result<envelope> decodeEnvelope(std::string_view payload);
 
 } // namespace crocuslane
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -348,9 +348,13 @@
   typedef name_listBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LENGTHS = 4,
-    VT_TEXT = 6
+    VT_FIRST = 4,
+    VT_LENGTHS = 6,
+    VT_TEXT = 8
   };
+  uint16_t first() const {
+    return GetField<uint16_t>(VT_FIRST, 0);
+  }
   const flatbuffers::Vector<uint16_t> *lengths() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
   }
@@ -359,6 +363,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_FIRST, 2) &&
            VerifyOffsetRequired(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
            VerifyOffsetRequired(verifier, VT_TEXT) &&
@@ -371,6 +376,9 @@
   typedef name_list Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_first(uint16_t first) {
+    fbb_.AddElement<uint16_t>(name_list::VT_FIRST, first, 0);
+  }
   void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
     fbb_.AddOffset(name_list::VT_LENGTHS, lengths);
   }
@@ -392,11 +400,13 @@
 
 inline flatbuffers::Offset<name_list> Createname_list(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t first = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
     flatbuffers::Offset<flatbuffers::String> text = 0) {
   name_listBuilder builder_(_fbb);
   builder_.add_text(text);
   builder_.add_lengths(lengths);
+  builder_.add_first(first);
   return builder_.Finish();
 }
 
@@ -407,12 +417,14 @@
 
 inline flatbuffers::Offset<name_list> Createname_listDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t first = 0,
     const std::vector<uint16_t> *lengths = nullptr,
     const char *text = nullptr) {
   auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
   auto text__ = text ? _fbb.CreateString(text) : 0;
   return crocuslane::wire::Createname_list(
       _fbb,
+      first,
       lengths__,
       text__);
 }
--- a/src/libs/wire/name_list.cpp
+++ b/src/libs/wire/name_list.cpp
@@ -1,5 +1,7 @@
 #include "wire/name_list.h"
 
+#include "wire/frame_codec.h"
+
 #include <boost/locale/utf.hpp>
 
 #include <limits>
@@ -8,6 +10,11 @@
 
 namespace {
 
+// A writer starts anew beyond these; a message adds at most one frame to it, which a reader must accept.
+constexpr std::size_t restartCount = 20'000;
+constexpr std::size_t restartBytes = std::size_t{1} << 20;
+constexpr std::size_t maximumBytes = restartBytes + maximumFrameBytes;
+
 leaf::error_id invalidValue(std::string detail)
 {
     return leaf::new_error(wire_error{wire_fault::invalid_value, std::move(detail)});
@@ -29,55 +36,82 @@
     return true;
 }
 
+void name_list_writer::begin()
+{
+    if (m_numbers.size() > restartCount || m_bytes > restartBytes) {
+        reset();
+    }
+    m_first = static_cast<std::uint16_t>(m_numbers.size());
+    m_lengths.clear();
+    m_text.clear();
+}
+
 leaf::result<std::uint16_t> name_list_writer::add(const std::string &name)
 {
     constexpr std::size_t maximum = std::numeric_limits<std::uint16_t>::max();
-    const auto found = m_indexes.find(name);
-    if (found != m_indexes.end()) {
+    const auto found = m_numbers.find(name);
+    if (found != m_numbers.end()) {
         return found->second;
     }
-    if (name.size() > maximum || m_lengths.size() >= maximum) {
+    if (name.size() > maximum || m_numbers.size() >= maximum) {
         return invalidValue("id is too long or there are too many");
     }
-    const auto index = static_cast<std::uint16_t>(m_lengths.size());
-    m_indexes.emplace(name, index);
+    const auto number = static_cast<std::uint16_t>(m_numbers.size());
+    m_numbers.emplace(name, number);
+    m_bytes += name.size();
     m_lengths.push_back(static_cast<std::uint16_t>(name.size()));
     m_text += name;
-    return index;
+    return number;
 }
 
 flatbuffers::Offset<wire::name_list> name_list_writer::write(flatbuffers::FlatBufferBuilder &builder) const
 {
     const auto lengths = builder.CreateVector(m_lengths);
     const auto text = builder.CreateString(m_text);
-    return wire::Createname_list(builder, lengths, text);
+    return wire::Createname_list(builder, m_first, lengths, text);
 }
 
-leaf::result<name_list_reader> name_list_reader::make(const wire::name_list &list)
+void name_list_writer::reset()
 {
-    name_list_reader reader;
+    m_numbers.clear();
+    m_bytes = 0;
+}
+
+leaf::result<void> name_list_reader::take(const wire::name_list &list)
+{
+    if (list.first() == 0) {
+        m_names.clear();
+        m_bytes = 0;
+    }
+    if (list.first() != m_names.size()) {
+        return invalidValue("names don't continue those of earlier messages");
+    }
     const std::string_view text = list.text()->string_view();
+    m_bytes += text.size();
+    if (m_bytes > maximumBytes) {
+        return invalidValue("too many names");
+    }
     std::size_t position = 0;
     for (const std::uint16_t length : *list.lengths()) {
-        if (length > text.size() - position) {
-            return invalidValue("names are longer than their text");
+        if (length > text.size() - position || m_names.size() >= std::numeric_limits<std::uint16_t>::max()) {
+            return invalidValue("names are longer than their text, or too many");
         }
         const std::string_view name = text.substr(position, length);
         if (!isValidText(name)) {
             return invalidValue("name is not UTF-8");
         }
-        reader.m_names.push_back(name);
+        m_names.emplace_back(name);
         position += length;
     }
-    return reader;
+    return {};
 }
 
-leaf::result<std::string> name_list_reader::at(std::size_t index) const
+leaf::result<std::string> name_list_reader::at(std::size_t number) const
 {
-    if (index >= m_names.size()) {
-        return invalidValue("index of a name is out of range");
+    if (number >= m_names.size()) {
+        return invalidValue("number of a name is out of range");
     }
-    return std::string(m_names[index]);
+    return m_names[number];
 }
 
 } // namespace crocuslane
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -156,3 +156,30 @@
     CHECK(faultOf(encodeEnvelope({vm_id("vm"), 7, {}, bill_copy_released{request_id("\xc3")}}).value())
           == wire_fault::invalid_value);
 }
+
+// Guards against a name that is taken for another one after a message was lost, refused or repeated.
+TEST_CASE_METHOD(envelope_fixture, "envelopes of one connection, names sent once, arrive in full", "[wire]")
+{
+    envelope_encoder encoder;
+    envelope_decoder decoder;
+    const envelope sent{vm_id("vm-1"), 7, {1, 2}, exchange_delta{{state()}, {}}};
+    const std::string first = encoder.encode(sent).value();
+    const std::string second = encoder.encode(sent).value();
+    CHECK(second.size() < first.size());
+    CHECK(decoder.decode(first));
+    const envelope received = decoder.decode(second).value();
+    CHECK(std::get<exchange_delta>(received.message).states[0].demand[0].group == caller_group_id("north/desk"));
+
+    // Without the first message the second one can't be understood.
+    envelope_decoder late;
+    CHECK_FALSE(late.decode(second));
+
+    // After a message that could not be sent all names are sent again.
+    member_state tooLong = state();
+    tooLong.id = vm_id(std::string(70'000, 'x'));
+    CHECK_FALSE(encoder.encode({vm_id("vm-1"), 7, {1, 2}, exchange_delta{{tooLong}, {}}}));
+    CHECK_FALSE(encoder.encode({vm_id("vm-1"), 7, {1, 2}, configuration_text{1, 1, std::string(2U << 20, 'x')}}));
+    const std::string third = encoder.encode(sent).value();
+    CHECK(decoder.decode(third));
+    CHECK(late.decode(third));
+}
--- a/src/plugins/membership/message_size.h
+++ b/src/plugins/membership/message_size.h
@@ -14,7 +14,7 @@
 constexpr std::size_t sightingBytes = 8;
 constexpr std::size_t digestEntryBytes = 16;
 
-/// What the id of a VM, group or runner adds when a message first names it.
+/// What the id of a VM, group or runner adds when a connection first carries it.
 std::size_t nameBytes(const std::string &name);
 /// Without the frame and without names.
 std::size_t stateBytes(const member_state &state);
--- a/src/plugins/membership/state_exchange.cpp
+++ b/src/plugins/membership/state_exchange.cpp
@@ -20,13 +20,14 @@
 // Older sightings are of no use to any receiver.
 constexpr std::chrono::seconds oldestSighting{5};
 
-/// Adds up the bytes of a message within a limit; each name counts once.
+/// Adds up the bytes of a message within a limit; a name counts the first time that a connection carries it.
 class size_counter
 {
 public:
-    size_counter(std::size_t frameBytes, std::size_t limit)
+    size_counter(std::size_t frameBytes, std::size_t limit, std::set<std::string, std::less<>> &sentNames)
         : m_bytes(frameBytes)
         , m_limit(limit)
+        , m_sentNames(sentNames)
     {
     }
 
@@ -35,7 +36,7 @@
         std::size_t added = bytes;
         std::set<std::string_view> fresh;
         for (const std::string *name : names) {
-            if (!m_names.contains(*name) && fresh.insert(*name).second) {
+            if (!m_sentNames.contains(*name) && fresh.insert(*name).second) {
                 added += nameBytes(*name);
             }
         }
@@ -43,7 +44,7 @@
             return false;
         }
         m_bytes += added;
-        m_names.merge(fresh);
+        m_sentNames.insert(fresh.begin(), fresh.end());
         return true;
     }
 
@@ -55,7 +56,7 @@
 private:
     std::size_t m_bytes;
     std::size_t m_limit;
-    std::set<std::string_view> m_names;
+    std::set<std::string, std::less<>> &m_sentNames;
 };
 
 std::vector<const std::string *> namesOf(const member_state &state)
@@ -101,12 +102,14 @@
 void state_exchange::connected(const vm_id &peer, action_list &actions)
 {
     m_known.erase(peer);
+    m_sentNames.erase(peer);
     sendDigest(peer, allowance(peer), actions);
 }
 
 void state_exchange::disconnected(const vm_id &peer)
 {
     m_known.erase(peer);
+    m_sentNames.erase(peer);
 }
 
 void state_exchange::noteKnown(const vm_id &peer, const vm_id &id, std::uint64_t incarnation, std::uint64_t counter)
@@ -252,7 +255,7 @@
 bool state_exchange::sendDelta(const vm_id &peer, relaying relaying, std::size_t limit, action_list &actions)
 {
     exchange_delta delta;
-    size_counter size(deltaFrameBytes, limit);
+    size_counter size(deltaFrameBytes, limit, m_sentNames[peer]);
     if (!isKnown(peer, m_own, 0)) {
         if (!size.add(stateBytes(m_own), namesOf(m_own))) {
             return false;
@@ -299,7 +302,7 @@
 {
     exchange_digest digest;
     digest.configurationVersion = m_own.configurationVersion;
-    size_counter size(digestFrameBytes, limit);
+    size_counter size(digestFrameBytes, limit, m_sentNames[peer]);
     std::vector<const member_state *> states;
     for (const auto &[id, record] : m_members.records()) {
         if (!record.state.id.isEmpty()) {
--- a/src/plugins/membership/state_exchange.h
+++ b/src/plugins/membership/state_exchange.h
@@ -8,6 +8,8 @@
 
 #include <deque>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace crocuslane {
@@ -78,6 +80,8 @@
     /// Peers in the random order in which they get the next deltas.
     std::deque<vm_id> m_deck;
     std::map<vm_id, std::map<vm_id, known_state>> m_known;
+    /// Names that a connection has carried; they cost bytes only the first time.
+    std::map<vm_id, std::set<std::string, std::less<>>> m_sentNames;
     std::uint64_t m_round = 0;
 };
 
