Take states that come round slowly

Cause: a relayed state older than 5 s was dropped, though its VM is known to be alive by sightings. States up to 30 s old are now taken; what other plug-ins were told of a member is withdrawn when it is gone, whichever message came last.

--- a/src/plugins/membership/member_table.cpp
+++ b/src/plugins/membership/member_table.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+bool member_record::isHeard(steady_time now) const
+{
+    return aliveAt && now - *aliveAt <= memberTimeout;
+}
+
 member_table::member_table(const vm_id &self)
     : m_self(self)
 {
@@ -71,7 +76,7 @@
 {
     std::vector<vm_id> changed;
     for (auto &[id, record] : m_records) {
-        const bool isGone = !record.aliveAt || now - *record.aliveAt > memberTimeout;
+        const bool isGone = !record.isHeard(now);
         if (isGone != record.isGone) {
             record.isGone = isGone;
             changed.push_back(id);
@@ -90,6 +95,12 @@
     return m_records;
 }
 
+bool member_table::isHeard(const vm_id &id, steady_time now) const
+{
+    const member_record *record = find(id);
+    return record != nullptr && record->isHeard(now);
+}
+
 const member_record *member_table::find(const vm_id &id) const
 {
     const auto found = m_records.find(id);
--- a/src/plugins/membership/member_table.h
+++ b/src/plugins/membership/member_table.h
@@ -26,6 +26,8 @@
     /// Last state of it; its id is empty when there was none.
     member_state state;
     steady_time stateMadeAt;
+
+    bool isHeard(steady_time now) const;
 };
 
 /// All other entry VMs, of the VM list or heard of.
@@ -46,6 +48,7 @@
     void removeStrangers();
 
     const std::map<vm_id, member_record> &records() const;
+    bool isHeard(const vm_id &id, steady_time now) const;
     const member_record *find(const vm_id &id) const;
     /// Ids of the VM list, without this VM.
     std::set<vm_id> listedIds() const;
--- a/src/plugins/membership/membership_plugin.cpp
+++ b/src/plugins/membership/membership_plugin.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::seconds stopAnnouncement{2};
 // Every heartbeat of every peer that has a newer version would ask for it again.
 constexpr std::chrono::seconds fetchInterval{2};
+// At large sizes a state takes longer than memberTimeout to come round; sightings tell that its VM is alive.
+constexpr std::chrono::seconds oldestState{30};
 constexpr std::string_view configurationStream = "configuration";
 
 template<typename... handlers>
@@ -121,8 +123,8 @@
 
     bool isAdvised(const member_record &record) const
     {
-        return record.listed && record.listed->state == backend_state::live && !record.isStopping && record.aliveAt
-            && now() - *record.aliveAt <= memberTimeout;
+        return record.listed && record.listed->state == backend_state::live && !record.isStopping
+            && record.isHeard(now());
     }
 
     void tick(action_list &actions);
@@ -155,6 +157,8 @@
     std::set<runner_id> m_leavingByList;
     std::set<runner_id> m_leavingByLoad;
     std::map<vm_id, std::set<runner_id>> m_leavingByPeer;
+    /// Members whose demand and use other plug-ins were told.
+    std::set<vm_id> m_passedOn;
     std::uint64_t m_counter = 0;
     std::optional<steady_time> m_logReadAt;
     std::optional<steady_time> m_stopAt;
@@ -189,8 +193,11 @@
         const bool isGone = m_members->find(id)->isGone;
         m_context->timeline.record(
             timeline_kind::member_changed, {}, "vm=" + id.value() + (isGone ? " state=gone" : " state=heard"));
-        if (!isGone) {
-            continue;
+    }
+    std::erase_if(m_passedOn, [&](const vm_id &id) {
+        const member_record *record = m_members->find(id);
+        if (record != nullptr && !record->isGone) {
+            return false;
         }
         m_leavingByPeer.erase(id);
         if (admission != nullptr) {
@@ -199,7 +206,8 @@
         if (picker != nullptr) {
             picker->removeRemote(id);
         }
-    }
+        return true;
+    });
     m_members->removeStrangers();
     markLeaving();
 }
@@ -358,9 +366,11 @@
 {
     m_exchange->noteKnown(peer, state.id, state.incarnation, state.counter);
     const steady_time madeAt = sentAfter - std::chrono::milliseconds(state.ageMilliseconds);
-    if (now() - madeAt > memberTimeout || !m_members->takeState(state, madeAt, peer == state.id)) {
+    if (now() - madeAt > oldestState || !m_members->takeState(state, madeAt, peer == state.id)
+        || !m_members->isHeard(state.id, now())) {
         return;
     }
+    m_passedOn.insert(state.id);
     std::set<runner_id> leaving;
     for (const runner_use &use : state.runners) {
         if (use.isLeaving) {
