Exchange with one peer per round over eight connections at large sizes

Cause: 12 connections take 3 of 5 KB/s for heartbeats, and three messages of a round in the rest hold little more than the sender's own state. Up to nine VMs, all connected, nothing changes: three peers per round.

--- a/src/plugins/membership/peer_topology.h
+++ b/src/plugins/membership/peer_topology.h
@@ -8,7 +8,7 @@
 namespace crocuslane {
 
 /// Connections that one entry VM keeps at most.
-constexpr std::size_t maximumNeighbours = 12;
+constexpr std::size_t maximumNeighbours = 8;
 
 /// Entry VMs that @p self shall be connected with, the same relation on both ends: all others while they are at most
 /// maximumNeighbours, otherwise the neighbours on several rings in different random orders of the ids. Such a graph is
--- a/src/plugins/membership/state_exchange.cpp
+++ b/src/plugins/membership/state_exchange.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t peersPerRound = 3;
+// There the budget of a round holds two or three states, which cost less in one message.
+constexpr std::size_t peersPerRoundAtLargeSizes = 1;
 constexpr std::uint64_t roundsPerDigest = 8;
 // While a connection is missing, this VM depends on what others answer to its digests.
 constexpr std::uint64_t roundsPerDigestWithoutConnection = 2;
@@ -165,9 +167,10 @@
 std::vector<vm_id> state_exchange::dealPeers()
 {
     std::erase_if(m_deck, [this](const vm_id &peer) { return !m_connections.isConnected(peer); });
+    const std::size_t wanted = isComplete() ? peersPerRound : peersPerRoundAtLargeSizes;
     std::vector<vm_id> dealt;
     const std::vector<vm_id> connected = m_connections.connectedPeers();
-    while (dealt.size() < std::min(peersPerRound, connected.size())) {
+    while (dealt.size() < std::min(wanted, connected.size())) {
         if (m_deck.empty()) {
             std::vector<vm_id> fresh;
             std::copy_if(connected.begin(), connected.end(), std::back_inserter(fresh), [&dealt](const vm_id &peer) {
