--- a/measurements/measure/cost.cpp
+++ b/measurements/measure/cost.cpp
@@ -128,7 +128,7 @@
     };
 }
 
-policy_maker fixedOrder(std::vector<version_id> order)
+policy_maker fixedOrder(const std::vector<version_id> &order)
 {
     return [order](version_world & /*world*/) -> version_world::policy {
         return [order](const model_request & /*request*/) { return order; };
--- a/src/libs/edge/peer_network.cpp
+++ b/src/libs/edge/peer_network.cpp
@@ -92,7 +92,6 @@
 public:
     connection(private_data &owner, connection_side side, std::optional<vm_id> expected)
         : m_owner(owner)
-        , m_side(side)
         , m_expected(expected)
         , m_handshake(side,
                       {owner.context.node.id, owner.context.node.incarnation},
@@ -258,7 +257,6 @@
     }
 
     private_data &m_owner;
-    connection_side m_side;
     std::optional<vm_id> m_expected;
     peer_handshake m_handshake;
     frame_decoder m_decoder;
--- a/src/libs/logrecords/log_entry.h
+++ b/src/libs/logrecords/log_entry.h
@@ -34,6 +34,7 @@
     /// Idempotency key as the caller sent it.
     std::string key;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the defaulted operator's zero for a pointer.
     auto operator<=>(const claim_key &other) const = default;
 };
 
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -158,7 +158,7 @@
         auto &exchange = *static_cast<connection_exchange *>(self);
         if (!exchange.pending.empty()) {
             const std::size_t taken = std::min(size, exchange.pending.size());
-            std::memcpy(buffer, exchange.pending.data(), taken);
+            std::copy_n(exchange.pending.data(), taken, buffer);
             exchange.pending.erase(0, taken);
             return static_cast<ssize_t>(taken);
         }
--- a/src/plugins/versions/versions_plugin.cpp
+++ b/src/plugins/versions/versions_plugin.cpp
@@ -129,7 +129,7 @@
     return target;
 }
 
-std::vector<version_id> versions_plugin::offeredVersions(std::vector<version_id> permitted)
+std::vector<version_id> versions_plugin::offeredVersions(const std::vector<version_id> &permitted)
 {
     const std::shared_ptr<const configuration> current = m_configuration->current();
     std::vector<version_id> offered;
@@ -206,7 +206,7 @@
     const token_usage expected{
         request.promptTokens, 0, kind == current->kinds.end() ? typicalOutputTokens : kind->second.expectedTokens};
     std::vector<version_option> options;
-    for (const version_id &version : offeredVersions(std::move(versions))) {
+    for (const version_id &version : offeredVersions(versions)) {
         options.push_back({version,
                            static_cast<double>(cost(version, expected)),
                            m_quality.estimate(request.kind, version),
--- a/src/plugins/versions/versions_plugin.h
+++ b/src/plugins/versions/versions_plugin.h
@@ -39,7 +39,7 @@
                                                                      const caller &caller) const;
     std::vector<version_id> permittedVersions(const service_settings &service, const caller &caller) const;
     /// Versions that are neither suspended nor outside their share of new traffic; all when nothing else is left.
-    std::vector<version_id> offeredVersions(std::vector<version_id> permitted);
+    std::vector<version_id> offeredVersions(const std::vector<version_id> &permitted);
     void readRating(const answer_rating &rating);
     void applyConfiguration();
     void suspendIfFaulty(const version_id &version);
