--- a/src/plugins/versions/versions_plugin.cpp
+++ b/src/plugins/versions/versions_plugin.cpp
@@ -133,18 +133,37 @@
 {
     const std::shared_ptr<const configuration> current = m_configuration->current();
     std::vector<version_id> offered;
+    std::set<version_id> replaced;
     for (const version_id &version : permitted) {
         const version_settings &settings = current->versions.at(version);
         constexpr double percent = 100.0;
         const bool isInShare =
             settings.state != version_state::canary || m_context->random.unit() * percent < settings.canaryPercent;
-        if (isInShare && !m_suspended.contains(version)) {
-            offered.push_back(version);
+        if (!isInShare || m_suspended.contains(version)) {
+            continue;
+        }
+        offered.push_back(version);
+        if (settings.state == version_state::canary && settings.replaces) {
+            replaced.insert(*settings.replaces);
         }
     }
+    // Inside its share a canary takes the place of the version that it is to replace.
+    std::erase_if(offered, [&replaced](const version_id &version) { return replaced.contains(version); });
     return offered.empty() ? permitted : offered;
 }
 
+quality_estimate versions_plugin::qualityOf(const kind_id &kind, const version_settings &version) const
+{
+    const quality_estimate own = m_quality.estimate(kind, version.id);
+    // Few ratings of a canary say less than the record of the version that it is to replace.
+    constexpr double ratingsOfOwn = 50.0;
+    if (!version.replaces || own.count >= ratingsOfOwn) {
+        return own;
+    }
+    const quality_estimate replaced = m_quality.estimate(kind, *version.replaces);
+    return replaced.count > own.count ? replaced : own;
+}
+
 void versions_plugin::describe(nlohmann::json &status) const
 {
     const std::shared_ptr<const configuration> current = m_configuration->current();
@@ -209,7 +228,7 @@
     for (const version_id &version : offeredVersions(versions)) {
         options.push_back({version,
                            static_cast<double>(cost(version, expected)),
-                           m_quality.estimate(request.kind, version),
+                           qualityOf(request.kind, current->versions.at(version)),
                            m_monitors[version].weakRate()});
     }
     return version_candidates{m_selector->order(std::move(options), qualityTarget(request.kind, request.service)),
--- a/src/plugins/versions/versions_plugin.h
+++ b/src/plugins/versions/versions_plugin.h
@@ -40,6 +40,7 @@
     std::vector<version_id> permittedVersions(const service_settings &service, const caller &caller) const;
     /// Versions that are neither suspended nor outside their share of new traffic; all when nothing else is left.
     std::vector<version_id> offeredVersions(const std::vector<version_id> &permitted);
+    quality_estimate qualityOf(const kind_id &kind, const version_settings &version) const;
     void readRating(const answer_rating &rating);
     void applyConfiguration();
     void suspendIfFaulty(const version_id &version);
