Raise the threshold of the rating test

Cause: 2 of 200 runs withdrew a good version, which is not under 1%. Ruled out: a smaller step limit (slows every detection).

--- a/measurements/measure/exposure.cpp
+++ b/measurements/measure/exposure.cpp
@@ -309,7 +309,7 @@
     }
     int falseAlarms = 0;
     int runs = 0;
-    for (const std::uint64_t seed : options.seeds(100, 4)) {
+    for (const std::uint64_t seed : options.seeds(200, 4)) {
         for (const scenario &scenario : {scenarios[0], scenarios[1]}) {
             falseAlarms += hasFalseAlarm(scenario, seed) ? 1 : 0;
             ++runs;
--- a/src/plugins/versions/version_monitor.cpp
+++ b/src/plugins/versions/version_monitor.cpp
@@ -18,7 +18,7 @@
 
 // The mean number of observations between false alarms grows like e to the threshold: these give millions of answers
 // and hundreds of thousands of ratings.
-constexpr double ratingThreshold = 11.0;
+constexpr double ratingThreshold = 13.0;
 constexpr double answerThreshold = 14.0;
 // One observation moves a test by this at most, so that a few outliers (a straggler among the runners, one long queue)
 // can't raise an alarm.
