--- a/src/libs/configuration/tests/settings_test.cpp
+++ b/src/libs/configuration/tests/settings_test.cpp
@@ -29,7 +29,7 @@
 
     static std::string readPage(const std::string &name)
     {
-        std::ifstream file(CROCUSLANE_SOURCE_FOLDER "/docs/" + name);
+        std::ifstream file(CROCUSLANE_SOURCE_FOLDER "/" + name);
         return {std::istreambuf_iterator<char>(file), {}};
     }
 
@@ -98,6 +98,12 @@
     CHECK_FALSE(result.value);
 }
 
+// Guards against an example that the daemon refuses.
+TEST_CASE_METHOD(settings_fixture, "settings, example, is valid", "[settings]")
+{
+    CHECK(checkSettings(readPage("examples/crocuslaned.ini"), {}).value);
+}
+
 // Guards against a production node that starts without TLS.
 TEST_CASE_METHOD(settings_fixture, "settings, production without key files, are refused", "[settings]")
 {
@@ -133,6 +139,6 @@
             CHECK(binding.show(daemon_settings{}) == binding.rule.defaultValue);
         }
     }
-    CHECK(describeSettings() == readPage("settings.md"));
-    CHECK(describeConfiguration() == readPage("configuration.md"));
+    CHECK(describeSettings() == readPage("docs/settings.md"));
+    CHECK(describeConfiguration() == readPage("docs/configuration.md"));
 }
