--- a/measurements/harness/control_exchange.cpp
+++ b/measurements/harness/control_exchange.cpp
@@ -142,7 +142,7 @@
         return false;
     }
 
-    duration silenceLimit(const runner_id & /*runner*/) const override
+    duration silenceLimit(const runner_id & /*runner*/, const work_estimate & /*work*/) const override
     {
         return {};
     }
