--- a/src/plugins/membership/member_table.cpp
+++ b/src/plugins/membership/member_table.cpp
@@ -1,7 +1,5 @@
 #include "plugins/membership/member_table.h"
 
-#include <algorithm>
-
 namespace crocuslane {
 
 namespace {
@@ -25,8 +23,9 @@
     return aliveAt && now - *aliveAt <= memberTimeout;
 }
 
-member_table::member_table(const vm_id &self)
+member_table::member_table(const vm_id &self, steady_time startedAt)
     : m_self(self)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -45,7 +44,7 @@
 
 void member_table::noteAlive(const vm_id &id, steady_time aliveAt, std::uint64_t configurationVersion, bool isStopping)
 {
-    if (id == m_self) {
+    if (id == m_self || aliveAt < m_startedAt) {
         return;
     }
     member_record &record = m_records[id];
@@ -59,7 +58,7 @@
 
 bool member_table::takeState(const member_state &state, steady_time madeAt, bool isDirect)
 {
-    if (state.id == m_self || state.id.isEmpty()) {
+    if (state.id == m_self || state.id.isEmpty() || madeAt < m_startedAt) {
         return false;
     }
     member_record &record = m_records[state.id];
--- a/src/plugins/membership/member_table.h
+++ b/src/plugins/membership/member_table.h
@@ -18,7 +18,7 @@
 struct member_record {
     /// Nothing while the VM list, which lags, doesn't have it.
     std::optional<vm_entry> listed;
-    /// The VM was alive and had @c configurationVersion at this time or later; nothing when it was never heard.
+    /// The VM was alive and had confirmed @c configurationVersion at this time or later; nothing when never heard.
     std::optional<steady_time> aliveAt;
     std::uint64_t configurationVersion = 0;
     bool isStopping = false;
@@ -34,7 +34,9 @@
 class member_table
 {
 public:
-    explicit member_table(const vm_id &self);
+    /// Words from before @p startedAt, when this process started, are ignored: what it confirms by them would count
+    /// from then on, although the VMs that they are from may have confirmed more before they were restarted themselves.
+    member_table(const vm_id &self, steady_time startedAt);
 
     void setList(const std::vector<vm_entry> &entries);
     /// Word that @p id was alive at @p aliveAt.
@@ -55,6 +57,7 @@
 
 private:
     vm_id m_self;
+    steady_time m_startedAt;
     std::map<vm_id, member_record> m_records;
 };
 
--- a/src/plugins/membership/membership_plugin.cpp
+++ b/src/plugins/membership/membership_plugin.cpp
@@ -48,7 +48,7 @@
     void initialize(plugin_context &context) override
     {
         m_context = &context;
-        m_members.emplace(context.node.id);
+        m_members.emplace(context.node.id, context.time.steadyNow());
         m_connections.emplace(context.time, context.random);
         m_exchange.emplace(context.time, context.random, context.node, *m_members, *m_connections);
         context.services.offer<member_view>(*this);
--- a/src/plugins/membership/tests/membership_test.cpp
+++ b/src/plugins/membership/tests/membership_test.cpp
@@ -403,10 +403,28 @@
 TEST_CASE("member table, states of two incarnations, keeps the later one", "[membership]")
 {
     const steady_time now = manual_clock().steadyNow();
-    member_table table(vm_id("self"));
+    member_table table(vm_id("self"), now);
     CHECK(table.takeState({vm_id("peer"), 5, 100, 1, 0, false, {}, {}, 0}, now, false));
     CHECK(table.takeState({vm_id("peer"), 6, 1, 1, 0, false, {}, {}, 0}, now, false));
     CHECK_FALSE(table.takeState({vm_id("peer"), 5, 101, 1, 0, false, {}, {}, 0}, now, false));
     CHECK_FALSE(table.takeState({vm_id("peer"), 6, 1, 1, 0, false, {}, {}, 0}, now, false));
     CHECK_FALSE(table.takeState({vm_id("self"), 9, 1, 1, 0, false, {}, {}, 0}, now, false));
 }
+
+// Guards against a restarted VM, which has forgotten what it confirmed, that still counts with its earlier version: a
+// majority of such VMs served a version that had been replaced.
+TEST_CASE("member table, VM restarted, counts with what it reports now", "[membership]")
+{
+    const steady_time now = manual_clock().steadyNow();
+    member_table table(vm_id("self"), now);
+    table.noteAlive(vm_id("peer"), now, 5, false);
+    table.noteAlive(vm_id("peer"), now + 1s, 0, false);
+    CHECK(table.find(vm_id("peer"))->configurationVersion == 0);
+    // A word from before this process started is not heard at all.
+    table.noteAlive(vm_id("other"), now - 1s, 5, false);
+    CHECK(table.find(vm_id("other")) == nullptr);
+    CHECK_FALSE(table.takeState({vm_id("other"), 5, 100, 1, 0, false, {}, {}, 0}, now - 1s, false));
+    // An older word that arrives late changes nothing.
+    table.noteAlive(vm_id("peer"), now, 5, false);
+    CHECK(table.find(vm_id("peer"))->configurationVersion == 0);
+}
