Bound the requests of views in large deployments

Cause: publish and status asked every VM for a status that lists every VM, and publish did so three times a second: at 1,700 VMs that is quadratic. An entry VM's view is used first; only VMs that it has not heard to have the version are asked, 16 at a time. status asks each VM for /readyz only, groups asks 16 VMs.

--- a/src/apps/crocuslane/operator_client.cpp
+++ b/src/apps/crocuslane/operator_client.cpp
@@ -273,6 +273,27 @@
     return readAll(m_transport, addresses, "/admin/status", readStatusAnswer);
 }
 
+std::vector<vm_answer<bool>> operator_client::readinessOf(const std::vector<std::string> &addresses)
+{
+    std::vector<transport_request> requests;
+    requests.reserve(addresses.size());
+    for (const std::string &address : addresses) {
+        requests.push_back({"GET", address, "/readyz", {}});
+    }
+    const std::vector<transport_reply> replies = m_transport.exchange(requests);
+    std::vector<vm_answer<bool>> answers;
+    answers.reserve(replies.size());
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+        const transport_reply &reply = replies[index];
+        if (reply.result == transport_result::answered) {
+            answers.push_back({addresses[index], reply.status == okStatus, {}});
+        } else {
+            answers.push_back({addresses[index], std::nullopt, transportError(addresses[index], reply)});
+        }
+    }
+    return answers;
+}
+
 std::vector<vm_answer<published_configuration>>
 operator_client::configurationOf(const std::vector<std::string> &addresses)
 {
--- a/src/apps/crocuslane/operator_client.h
+++ b/src/apps/crocuslane/operator_client.h
@@ -125,6 +125,8 @@
     boost::leaf::result<void> drain(const std::string &address);
 
     std::vector<vm_answer<node_status>> statusOf(const std::vector<std::string> &addresses);
+    /// Whether each VM takes requests; a short answer, unlike the status.
+    std::vector<vm_answer<bool>> readinessOf(const std::vector<std::string> &addresses);
     std::vector<vm_answer<published_configuration>> configurationOf(const std::vector<std::string> &addresses);
     std::vector<vm_answer<std::vector<group_load>>> groupsOf(const std::vector<std::string> &addresses);
     /// @p request may be empty; @p sinceMilliseconds is Unix time.
--- a/src/apps/crocuslane/publisher.cpp
+++ b/src/apps/crocuslane/publisher.cpp
@@ -7,7 +7,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
 
 namespace crocuslane {
 
@@ -17,6 +16,7 @@
 
 constexpr std::chrono::milliseconds pollInterval{300};
 constexpr std::size_t namedVms = 4;
+constexpr std::size_t directQueries = 16;
 
 } // namespace
 
@@ -114,38 +114,40 @@
                     replaced + 1)};
 }
 
-std::vector<vm_confirmation> publisher::readConfirmations(std::uint64_t version)
+void publisher::readStatuses(const std::vector<std::string> &addresses)
 {
-    // A VM that can't be reached from here may have confirmed to another one.
-    std::map<std::string, std::uint64_t> versions;
-    std::vector<std::string> addresses = m_client.entries();
-    for (const vm_status &member : m_members) {
-        if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
-            addresses.push_back(member.address);
-        }
-    }
-    std::vector<vm_status> members;
-    for (const auto &answer : m_client.statusOf(addresses)) {
+    for (auto &answer : m_client.statusOf(addresses)) {
         if (!answer.value) {
             continue;
         }
-        std::uint64_t &own = versions[answer.value->id];
+        std::uint64_t &own = m_versions[answer.value->id];
         own = std::max(own, answer.value->configurationVersion);
         for (const vm_status &member : answer.value->members) {
-            std::uint64_t &known = versions[member.id];
+            std::uint64_t &known = m_versions[member.id];
             known = std::max(known, member.configurationVersion);
         }
-        if (answer.value->members.size() > members.size()) {
-            members = answer.value->members;
+        if (answer.value->members.size() >= m_members.size()) {
+            m_members = std::move(answer.value->members);
         }
     }
-    if (!members.empty()) {
-        m_members = std::move(members);
+}
+
+std::vector<vm_confirmation> publisher::readConfirmations(std::uint64_t version)
+{
+    readStatuses(m_client.entries());
+    // An entry VM hears of the others with a delay, and not at all of those that a partition cuts off from it. Only
+    // these are asked, and a few at a time: each answer lists all VMs of the deployment.
+    std::vector<std::string> unconfirmed;
+    for (const vm_status &member : m_members) {
+        if (m_versions[member.id] < version && unconfirmed.size() < directQueries) {
+            unconfirmed.push_back(member.address);
+        }
     }
+    readStatuses(unconfirmed);
     std::vector<vm_confirmation> vms;
     vms.reserve(m_members.size());
     for (const vm_status &member : m_members) {
-        const std::uint64_t known = versions[member.id];
+        const std::uint64_t known = m_versions[member.id];
         vms.push_back({member.id, member.availabilityZone, member.address, known, known >= version});
     }
     return vms;
--- a/src/apps/crocuslane/publisher.h
+++ b/src/apps/crocuslane/publisher.h
@@ -65,6 +65,8 @@
     attempt send(std::uint64_t replaced, const std::string &text);
     /// Nothing while the version to be replaced is still in force, or no VM answers.
     std::optional<publication_result> compare(std::uint64_t replaced, const std::string &hash, bool isCertainlyDecided);
+    /// Notes the members and the versions that the given VMs know of.
+    void readStatuses(const std::vector<std::string> &addresses);
     std::vector<vm_confirmation> readConfirmations(std::uint64_t version);
     void showConfirmations(std::uint64_t version, const std::vector<vm_confirmation> &vms);
 
@@ -74,6 +76,8 @@
     publication_settings m_settings;
     /// Last list of the entry VMs; kept while no VM answers.
     std::vector<vm_status> m_members;
+    /// Newest known version by VM id.
+    std::map<std::string, std::uint64_t> m_versions;
 };
 
 } // namespace crocuslane
--- a/src/apps/crocuslane/tests/command_test.cpp
+++ b/src/apps/crocuslane/tests/command_test.cpp
@@ -96,6 +96,17 @@
     CHECK(m_publications == 1);
 }
 
+// Guards against a poll of every VM of a large deployment when one entry VM knows what is in force.
+TEST_CASE_METHOD(command_fixture, "publish, entry heard of all VMs, asks it only", "[command]")
+{
+    m_isHeard = true;
+    CHECK(runPlain({"publish", editedFile(), "--entry", vm(0).address(), "--key", "dev-operator"})
+          == exit_code::success);
+    CHECK_THAT(out(), Contains("version 8 is in force everywhere"));
+    CHECK(m_requests[1] == 0);
+    CHECK(m_requests[2] == 0);
+}
+
 // Guards against an endless wait for a VM that is gone, and against counting it as confirmed.
 TEST_CASE_METHOD(command_fixture, "publish, one VM silent, ends after the freshness limit", "[command]")
 {
@@ -245,6 +256,11 @@
     CHECK_THAT(out(), Contains("no answer") && Contains("takes requests"));
     CHECK(run({"status", "--json"}) == exit_code::success);
     CHECK(nlohmann::json::parse(out())["vms"][0]["answered"] == false);
+    CHECK(nlohmann::json::parse(out())["vms"][1]["takes_requests"] == true);
+    m_staleVm = 1;
+    CHECK(run({"status", "--json", "--plugins"}) == exit_code::success);
+    CHECK(nlohmann::json::parse(out())["vms"][1]["takes_requests"] == false);
+    CHECK(nlohmann::json::parse(out())["plugins"].size() == 2);
     CHECK(run({"bills"}) == exit_code::success);
     CHECK_THAT(out(), Contains("1.500000"));
     CHECK(run({"drain", "vm-2"}) == exit_code::success);
--- a/src/apps/crocuslane/tests/fake_deployment.h
+++ b/src/apps/crocuslane/tests/fake_deployment.h
@@ -97,6 +97,10 @@
     std::vector<std::size_t> m_followers = {0, 1, 2};
     std::deque<publication_fate> m_fates;
     int m_publications = 0;
+    /// Whether each VM heard the versions of the others.
+    bool m_isHeard = false;
+    std::optional<std::size_t> m_staleVm;
+    std::map<std::size_t, int> m_requests;
     std::string m_drained;
     std::map<std::size_t, nlohmann::json> m_groups;
     std::map<std::size_t, nlohmann::json> m_events;
@@ -149,13 +153,12 @@
     {
         nlohmann::json members = nlohmann::json::array();
         for (std::size_t index = 0; index < m_versions.size(); ++index) {
-            // A VM knows of another's version what it had heard: here, nothing.
             members.push_back({{"id", "vm-" + std::to_string(index)},
                                {"availability_zone", index < 2 ? "muscat-a" : "dhofar-a"},
                                {"region", index < 2 ? "muscat" : "dhofar"},
                                {"address", m_vms[index]->address()},
                                {"last_heard_age_s", index == self ? nlohmann::json(0.1) : nlohmann::json(nullptr)},
-                               {"configuration_version", index == self ? m_versions[index] : 0},
+                               {"configuration_version", index == self || m_isHeard ? m_versions[index] : 0},
                                {"stopping", false},
                                {"self", index == self}});
         }
@@ -168,6 +171,10 @@
     fake_reply reply(std::size_t self, const fake_request &request)
     {
         const std::scoped_lock lock(m_mutex);
+        ++m_requests[self];
+        if (request.path == "/readyz") {
+            return {self == m_staleVm ? 503U : 200U, "", false};
+        }
         if (request.authorization != "Bearer dev-operator") {
             return error(401, "unauthenticated", "not_run");
         }
--- a/src/apps/crocuslane/view_commands.cpp
+++ b/src/apps/crocuslane/view_commands.cpp
@@ -22,6 +22,7 @@
 
 constexpr double costUnit = 1e6;
 constexpr double wholePercent = 100.0;
+constexpr std::size_t groupQueries = 16;
 constexpr std::chrono::milliseconds pollInterval{300};
 
 void describeNothing(command_options & /*described*/)
@@ -42,67 +43,100 @@
     return silent;
 }
 
+/// At most @p limit of the addresses, spread over the list.
+std::vector<std::string> sample(const std::vector<std::string> &addresses, std::size_t limit)
+{
+    std::vector<std::string> chosen;
+    const std::size_t count = std::min(addresses.size(), limit);
+    chosen.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        chosen.push_back(addresses[index * addresses.size() / count]);
+    }
+    return chosen;
+}
+
 // status
 
-std::string stateOf(const vm_status &member, const vm_answer<node_status> &answer)
+std::string stateOf(const vm_status &member, const vm_answer<bool> &readiness)
 {
-    if (!answer.value) {
+    if (!readiness.value) {
         return "no answer";
     }
     if (member.isStopping) {
         return "stopping";
     }
-    return answer.value->isFresh ? "takes requests" : "takes no requests: configuration unconfirmed";
+    return *readiness.value ? "takes requests" : "takes no requests: configuration unconfirmed";
+}
+
+json statusAsJson(const node_status &seen, const std::vector<vm_answer<bool>> &readiness)
+{
+    json vms = json::array();
+    for (std::size_t index = 0; index < readiness.size(); ++index) {
+        const vm_status &member = seen.members[index];
+        const vm_answer<bool> &answer = readiness[index];
+        vms.push_back(
+            {{"id", member.id},
+             {"availability_zone", member.availabilityZone},
+             {"region", member.region},
+             {"address", member.address},
+             {"configuration_version", member.configurationVersion},
+             {"last_heard_age_s", member.lastHeardAgeSeconds ? json(*member.lastHeardAgeSeconds) : json(nullptr)},
+             {"stopping", member.isStopping},
+             {"answered", answer.value.has_value()},
+             {"takes_requests", answer.value.value_or(false)}});
+    }
+    return vms;
+}
+
+/// Status of single VMs as JSON objects by address; what their plug-ins report.
+json pluginsAsJson(const std::vector<vm_answer<node_status>> &answers)
+{
+    json plugins = json::object();
+    for (const auto &answer : answers) {
+        if (answer.value) {
+            plugins[answer.value->id] = json::parse(answer.value->plugins);
+        }
+    }
+    return plugins;
 }
 
 leaf::result<exit_code> runStatus(const option_values &values, command_environment &environment)
 {
     BOOST_LEAF_AUTO(opened, connection::open(values, environment));
-    BOOST_LEAF_AUTO(first, opened.client().status());
-    const std::vector<vm_answer<node_status>> answers = opened.client().statusOf(addressesOf(first.members));
+    BOOST_LEAF_AUTO(seen, opened.client().status());
+    const std::vector<std::string> addresses = addressesOf(seen.members);
+    const std::vector<vm_answer<bool>> readiness = opened.client().readinessOf(addresses);
     if (wantsJson(values)) {
-        json vms = json::array();
-        for (std::size_t index = 0; index < answers.size(); ++index) {
-            const vm_status &member = first.members[index];
-            const auto &answer = answers[index];
-            json vm = {{"id", member.id},
-                       {"availability_zone", member.availabilityZone},
-                       {"region", member.region},
-                       {"address", member.address},
-                       {"stopping", member.isStopping},
-                       {"answered", answer.value.has_value()}};
-            vm["last_heard_age_s"] = member.lastHeardAgeSeconds ? json(*member.lastHeardAgeSeconds) : json(nullptr);
-            if (answer.value) {
-                vm["configuration_version"] = answer.value->configurationVersion;
-                vm["fresh"] = answer.value->isFresh;
-                vm["plugins"] = json::parse(answer.value->plugins);
-            } else {
-                vm["configuration_version"] = member.configurationVersion;
-                vm["error"] = toText(answer.error);
-            }
-            vms.push_back(std::move(vm));
+        json answer = {{"seen_from", seen.id}, {"vms", statusAsJson(seen, readiness)}};
+        if (values.contains("plugins")) {
+            const auto statuses = opened.client().statusOf(addresses);
+            reportSilent(statuses, environment);
+            answer["plugins"] = pluginsAsJson(statuses);
         }
-        printJson(environment.out, {{"seen_from", first.id}, {"vms", std::move(vms)}});
+        printJson(environment.out, answer);
         return exit_code::success;
     }
     table rows({"VM", "ZONE", "REGION", "ADDRESS", "VERSION", "HEARD_S", "STATE"});
-    for (std::size_t index = 0; index < answers.size(); ++index) {
-        const vm_status &member = first.members[index];
-        const std::uint64_t version =
-            answers[index].value ? answers[index].value->configurationVersion : member.configurationVersion;
+    for (std::size_t index = 0; index < readiness.size(); ++index) {
+        const vm_status &member = seen.members[index];
         rows.addRow({member.id,
                      member.availabilityZone,
                      member.region,
                      member.address,
-                     std::to_string(version),
+                     std::to_string(member.configurationVersion),
                      member.lastHeardAgeSeconds ? fmt::format("{:.1f}", *member.lastHeardAgeSeconds) : "never",
-                     stateOf(member, answers[index])});
+                     stateOf(member, readiness[index])});
     }
     environment.out << rows.text();
-    environment.err << fmt::format("seen from {}\n", first.id);
+    environment.err << fmt::format("seen from {}\n", seen.id);
     return exit_code::success;
 }
 
+void describeStatus(command_options &described)
+{
+    described.visible.add_options()("plugins", "with --json: ask each VM for what its plug-ins report");
+}
+
 // groups
 
 double shareOf(const group_load &group)
@@ -194,7 +228,8 @@
 {
     BOOST_LEAF_AUTO(opened, connection::open(values, environment));
     BOOST_LEAF_AUTO(members, opened.members());
-    const auto answers = opened.client().groupsOf(addressesOf(members));
+    // Each VM reports the whole deployment, so that a few are enough.
+    const auto answers = opened.client().groupsOf(sample(addressesOf(members), groupQueries));
     const std::size_t silent = reportSilent(answers, environment);
     const std::vector<group_load> groups = mergeGroups(answers);
     if (wantsJson(values)) {
@@ -366,9 +401,9 @@
     static const command command{"status",
                                  "",
                                  "show each entry VM: configuration version, whether it takes requests",
-                                 "",
+                                 "Versions are those that the answering VM has heard of.",
                                  true,
-                                 describeNothing,
+                                 describeStatus,
                                  runStatus};
     return command;
 }
