--- a/src/plugins/requests/model_flow.cpp
+++ b/src/plugins/requests/model_flow.cpp
@@ -212,7 +212,7 @@
                                     pick.version,
                                     run.nextIndex,
                                     priorityOf(run.work),
-                                    picker.silenceLimit(choice.runner)});
+                                    picker.silenceLimit(choice.runner, run.work)});
     m_environment.context.timeline.record(timeline_kind::attempt_started,
                                           request,
                                           "runner=" + choice.runner.value() + " version=" + pick.version.value());
@@ -250,7 +250,8 @@
 
 void model_flow::hedge(run &run, action_list &actions)
 {
-    if (run.hasHedged || hasForwarded(run) || run.attempts.size() != 1) {
+    // While requests wait, a second attempt would only take the slot that one of them needs.
+    if (run.hasHedged || hasForwarded(run) || run.attempts.size() != 1 || m_environment.queue.size() > 0) {
         return;
     }
     if (!m_environment.services.versions->mayServe(
