Keep the process alive when a connection was closed by the other end

Before: the new test ends by the signal; the resumed daemon was gone. Conclusion: SIGPIPE is ignored by the event loop.

--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -73,6 +73,9 @@
 event_loop::event_loop()
     : d(std::make_unique<private_data>())
 {
+    // A write to a connection that the other end has closed must fail with EPIPE; the signal's default ends the
+    // process. libmicrohttpd leaves this to the program.
+    std::signal(SIGPIPE, SIG_IGN);
     d->reactor = std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor(maximumHandles), true);
 }
 
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -5,6 +5,11 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <cerrno>
+
+#include <unistd.h>
+
 using namespace crocuslane;
 namespace errors = boost::leaf;
 
@@ -203,3 +208,14 @@
     CHECK(calls == 0);
     CHECK(m_body == "next");
 }
+
+// Guards against the end of the process by a write to a connection that the other end has closed, as after a pause.
+TEST_CASE_METHOD(http_fixture, "event loop, write to a closed connection, does not end the process", "[net]")
+{
+    std::array<int, 2> pipe{};
+    REQUIRE(::pipe(pipe.data()) == 0);
+    ::close(pipe[0]);
+    CHECK(::write(pipe[1], "x", 1) == -1);
+    CHECK(errno == EPIPE);
+    ::close(pipe[1]);
+}
