--- a/src/apps/crocuslane/text_commands.cpp
+++ b/src/apps/crocuslane/text_commands.cpp
@@ -53,7 +53,7 @@
         for (const configuration_problem &problem : result.problems) {
             environment.out << toText(problem, path) << '\n';
         }
-        environment.err << fmt::format("crocuslane: {}: {} problems\n", path, result.problems.size());
+        environment.err << fmt::format("crocuslane: {}: problems: {}\n", path, result.problems.size());
     }
     return result.value ? exit_code::success : exit_code::usage;
 }
