Release socket watchers of the HTTP client from the loop

Cause: two of six daemons ended with a segmentation fault under load (1500 requests, 60/s): the reactor uses the handler after its event, and the client destroyed it at the end of the transfer inside that event. The stack ends in ACE_Dev_Poll_Reactor::dispatch_io_event. Ruled out: cancellation inside a curl callback (already deferred); the decision code (not on the stack). Before: 2 of 6 daemons ended within 20 s. Conclusion: handlers are destroyed by a timer of the loop, when none of their events is being dispatched.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -105,7 +105,6 @@
                 end(message->easy_handle, message->data.result);
             }
         }
-        retiredWatchers.clear();
     }
 
     void end(CURL *handle, CURLcode code)
@@ -195,7 +194,10 @@
             if (found != watchers.end()) {
                 loop.reactor().remove_handler(found->second.get(),
                                               ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-                // The watcher may be the one whose event is being handled, so it is destroyed later.
+                // The reactor still uses the watcher whose event it is dispatching, so it is destroyed from the loop.
+                if (retiredWatchers.empty()) {
+                    loop.schedule(duration::zero(), [this] { retiredWatchers.clear(); });
+                }
                 retiredWatchers.push_back(std::move(found->second));
                 watchers.erase(found);
             }
