Let a stand-in refuse a port that is in use

Cause: libmicrohttpd's address reuse option sets SO_REUSEPORT, so a second deployment on the same ports started without an error and shared the connections of the first. Ruled out: a check in run-local only: the programs are also started by hand. Before: two stand-ins on one port. Conclusion: a port belongs to one process.

--- a/standins/http/standin_loop.cpp
+++ b/standins/http/standin_loop.cpp
@@ -75,8 +75,6 @@
                                        &socketAddress,
                                        MHD_OPTION_CONNECTION_LIMIT,
                                        maximumConnections,
-                                       MHD_OPTION_LISTENING_ADDRESS_REUSE,
-                                       1U,
                                        MHD_OPTION_NOTIFY_COMPLETED,
                                        &standin_listener_access::completeRequest,
                                        details.get(),
