--- a/src/plugins/membership/state_exchange.cpp
+++ b/src/plugins/membership/state_exchange.cpp
@@ -4,6 +4,7 @@
 #include "plugins/membership/peer_topology.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace crocuslane {
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr std::size_t peersPerRound = 3;
+// There the budget of a round holds two or three states, which cost less in one message.
+constexpr std::size_t peersPerRoundAtLargeSizes = 1;
 constexpr std::uint64_t roundsPerDigest = 8;
 // While a connection is missing, this VM depends on what others answer to its digests.
 constexpr std::uint64_t roundsPerDigestWithoutConnection = 2;
@@ -145,15 +148,24 @@
     return m_members.listedIds().size() <= maximumNeighbours;
 }
 
-bool state_exchange::isKnown(const vm_id &peer, const member_state &state, std::uint64_t lag) const
+// Rounds by which the state that the peer is known to have is older; the highest number for none.
+std::uint64_t state_exchange::lagOf(const vm_id &peer, const member_state &state) const
 {
+    constexpr std::uint64_t everything = std::numeric_limits<std::uint64_t>::max();
     const auto ofPeer = m_known.find(peer);
     if (ofPeer == m_known.end()) {
-        return false;
+        return everything;
     }
     const auto known = ofPeer->second.find(state.id);
-    return known != ofPeer->second.end() && known->second.incarnation == state.incarnation
-        && known->second.counter + lag >= state.counter;
+    if (known == ofPeer->second.end() || known->second.incarnation != state.incarnation) {
+        return everything;
+    }
+    return state.counter > known->second.counter ? state.counter - known->second.counter : 0;
+}
+
+bool state_exchange::isKnown(const vm_id &peer, const member_state &state, std::uint64_t lag) const
+{
+    return lagOf(peer, state) <= lag;
 }
 
 std::int64_t state_exchange::ageOf(steady_time time) const
@@ -165,9 +177,10 @@
 std::vector<vm_id> state_exchange::dealPeers()
 {
     std::erase_if(m_deck, [this](const vm_id &peer) { return !m_connections.isConnected(peer); });
+    const std::size_t wanted = isComplete() ? peersPerRound : peersPerRoundAtLargeSizes;
     std::vector<vm_id> dealt;
     const std::vector<vm_id> connected = m_connections.connectedPeers();
-    while (dealt.size() < std::min(peersPerRound, connected.size())) {
+    while (dealt.size() < std::min(wanted, connected.size())) {
         if (m_deck.empty()) {
             std::vector<vm_id> fresh;
             std::copy_if(connected.begin(), connected.end(), std::back_inserter(fresh), [&dealt](const vm_id &peer) {
@@ -215,22 +228,28 @@
     return m_round % (isConnectionMissing ? roundsPerDigestWithoutConnection : roundsPerDigest) == 0;
 }
 
-// The youngest first: they are news to most receivers.
+// First those that the peer is furthest behind with, so that all states come in turn.
 std::vector<const member_record *> state_exchange::statesToRelay(const vm_id &peer, relaying relaying) const
 {
-    std::vector<const member_record *> states;
     if (relaying == relaying::none) {
-        return states;
+        return {};
     }
     const std::uint64_t lag = relaying == relaying::lagging ? lagOfFailedConnection : 0;
+    std::vector<std::pair<std::uint64_t, const member_record *>> byLag;
     for (const auto &[id, record] : m_members.records()) {
         if (id != peer && !record.isGone && !record.state.id.isEmpty() && !isKnown(peer, record.state, lag)) {
-            states.push_back(&record);
+            byLag.emplace_back(lagOf(peer, record.state), &record);
         }
     }
-    std::stable_sort(states.begin(), states.end(), [](const member_record *left, const member_record *right) {
-        return left->stateMadeAt > right->stateMadeAt;
-    });
+    // VMs that know as little of the peer as this one must not all send it the same states.
+    shuffle(byLag, m_random);
+    std::stable_sort(
+        byLag.begin(), byLag.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<const member_record *> states;
+    states.reserve(byLag.size());
+    for (const auto &[behind, record] : byLag) {
+        states.push_back(record);
+    }
     return states;
 }
 
