--- a/src/plugins/membership/member_table.cpp
+++ b/src/plugins/membership/member_table.cpp
@@ -1,7 +1,5 @@
 #include "plugins/membership/member_table.h"
 
-#include <algorithm>
-
 namespace crocuslane {
 
 namespace {
@@ -20,8 +18,14 @@
 
 } // namespace
 
-member_table::member_table(const vm_id &self)
+bool member_record::isHeard(steady_time now) const
+{
+    return aliveAt && now - *aliveAt <= memberTimeout;
+}
+
+member_table::member_table(const vm_id &self, steady_time startedAt)
     : m_self(self)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -40,7 +44,7 @@
 
 void member_table::noteAlive(const vm_id &id, steady_time aliveAt, std::uint64_t configurationVersion, bool isStopping)
 {
-    if (id == m_self) {
+    if (id == m_self || aliveAt < m_startedAt) {
         return;
     }
     member_record &record = m_records[id];
@@ -54,7 +58,7 @@
 
 bool member_table::takeState(const member_state &state, steady_time madeAt, bool isDirect)
 {
-    if (state.id == m_self || state.id.isEmpty()) {
+    if (state.id == m_self || state.id.isEmpty() || madeAt < m_startedAt) {
         return false;
     }
     member_record &record = m_records[state.id];
@@ -71,7 +75,7 @@
 {
     std::vector<vm_id> changed;
     for (auto &[id, record] : m_records) {
-        const bool isGone = !record.aliveAt || now - *record.aliveAt > memberTimeout;
+        const bool isGone = !record.isHeard(now);
         if (isGone != record.isGone) {
             record.isGone = isGone;
             changed.push_back(id);
@@ -90,6 +94,12 @@
     return m_records;
 }
 
+bool member_table::isHeard(const vm_id &id, steady_time now) const
+{
+    const member_record *record = find(id);
+    return record != nullptr && record->isHeard(now);
+}
+
 const member_record *member_table::find(const vm_id &id) const
 {
     const auto found = m_records.find(id);
--- a/src/plugins/membership/member_table.h
+++ b/src/plugins/membership/member_table.h
@@ -18,7 +18,7 @@
 struct member_record {
     /// Nothing while the VM list, which lags, doesn't have it.
     std::optional<vm_entry> listed;
-    /// The VM was alive and had @c configurationVersion at this time or later; nothing when it was never heard.
+    /// The VM was alive and had confirmed @c configurationVersion at this time or later; nothing when never heard.
     std::optional<steady_time> aliveAt;
     std::uint64_t configurationVersion = 0;
     bool isStopping = false;
@@ -26,13 +26,17 @@
     /// Last state of it; its id is empty when there was none.
     member_state state;
     steady_time stateMadeAt;
+
+    bool isHeard(steady_time now) const;
 };
 
 /// All other entry VMs, of the VM list or heard of.
 class member_table
 {
 public:
-    explicit member_table(const vm_id &self);
+    /// Words from before @p startedAt, when this process started, are ignored: what it confirms by them would count
+    /// from then on, although the VMs that they are from may have confirmed more before they were restarted themselves.
+    member_table(const vm_id &self, steady_time startedAt);
 
     void setList(const std::vector<vm_entry> &entries);
     /// Word that @p id was alive at @p aliveAt.
@@ -46,12 +50,14 @@
     void removeStrangers();
 
     const std::map<vm_id, member_record> &records() const;
+    bool isHeard(const vm_id &id, steady_time now) const;
     const member_record *find(const vm_id &id) const;
     /// Ids of the VM list, without this VM.
     std::set<vm_id> listedIds() const;
 
 private:
     vm_id m_self;
+    steady_time m_startedAt;
     std::map<vm_id, member_record> m_records;
 };
 
