Let the event loop run again after a stop

Cause: a test that runs the loop several times returned at once after the first stop. Ruled out: a new loop per transfer (hides faults that come from reused descriptors). Before: net_test failed in one case.

--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -90,6 +90,7 @@
 
 void event_loop::run()
 {
+    d->isStopped = false;
     while (!d->isStopped) {
         d->reactor->handle_events();
     }
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -20,7 +20,7 @@
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
-    /// Runs until stop() is called.
+    /// Runs until stop() is called from within; can be called again.
     void run();
     void stop();
 
