Let a daemon in production mode use the peer key

Cause: main.cpp needs security.peer_key, the settings checker refused it outside development, so no daemon could start in production mode. Ruled out: a start without peer authentication until mutual TLS exists; a separate switch for connections that are not encrypted (one more way to configure it wrongly). Before: a production start without peer_key ends with exit code 1 in main.cpp, with peer_key with exit code 2 in the checker (from the sources, not run). After: it starts with the warning peer_connections_not_encrypted; without peer_key it ends with exit code 2 and names the key.

--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -45,17 +45,24 @@
     return readKeyFile(path);
 }
 
+void reportUnreadable(const std::string &setting, const std::string &file, logger &log)
+{
+    log.write(log_level::error, "key_file_unreadable", {{"setting", setting}, {"file", file}});
+}
+
 std::optional<entry_node::settings> makeNodeSettings(const daemon_settings &given, const clock &clock, logger &log)
 {
     const security_settings &security = given.security;
     const std::optional<std::string> sessionKey =
         loadKey(security.sessionKey, security.isDevelopment, developmentSessionKey);
     const std::optional<std::string> peerKey = loadKey(security.peerKey, security.isDevelopment, developmentPeerKey);
+    if (!sessionKey) {
+        reportUnreadable("security.session_key", security.sessionKey, log);
+    }
+    if (!peerKey) {
+        reportUnreadable("security.peer_key", security.peerKey, log);
+    }
     if (!sessionKey || !peerKey) {
-        log.write(log_level::error,
-                  "key_file_unreadable",
-                  {{"setting", sessionKey ? "security.peer_key" : "security.session_key"},
-                   {"file", sessionKey ? security.peerKey : security.sessionKey}});
         return std::nullopt;
     }
     entry_node::settings settings;
@@ -94,6 +101,9 @@
                   "development_mode",
                   {{"detail", "no TLS; built-in keys where no file is named; not for production"}});
     }
+    log.write(log_level::warning,
+              "peer_connections_not_encrypted",
+              {{"detail", "connections between entry VMs are authenticated by the peer key but not encrypted"}});
     event_loop loop;
     entry_node node(*settings, clock, loop, log);
     loop.setStopSignalHandler([&node] { node.deliver(stop_requested{}); });
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -96,8 +96,9 @@
         {.key = "development",
          .type = value_type::boolean,
          .defaultValue = "false",
-         .description = "true: entry VMs know each other by a shared key without TLS, and built-in keys are used where "
-                        "no file is named. Never set it in production."},
+         .description =
+             "true: built-in keys are used where no file is named, and the other files are optional. Never set "
+             "it in production."},
         [](daemon_settings &settings, const key_value &value) {
             settings.security.isDevelopment = std::get<bool>(value);
         },
@@ -116,7 +117,8 @@
         "security",
         {.key = "peer_key",
          .type = value_type::path,
-         .description = "File with the key that entry VMs share in development mode; not allowed otherwise."},
+         .description = "File with the key by which entry VMs authenticate each other, the same on all entry VMs; "
+                        "connections between them are not encrypted. Required unless development = true."},
         [](daemon_settings &settings, const key_value &value) { settings.security.peerKey = asText(value); },
         [](const daemon_settings &settings) { return settings.security.peerKey; }},
     setting_binding{
@@ -138,8 +140,9 @@
         "security",
         {.key = "ca_certificate",
          .type = value_type::path,
-         .description = "PEM file with the authority that signed the certificates of all entry VMs. Required unless "
-                        "development = true."},
+         .description =
+             "PEM file with the authority that signed the certificates of all entry VMs. Not read yet: kept for "
+             "TLS between entry VMs. Required unless development = true."},
         [](daemon_settings &settings, const key_value &value) { settings.security.caCertificate = asText(value); },
         [](const daemon_settings &settings) { return settings.security.caCertificate; }},
     setting_binding{
@@ -402,21 +405,12 @@
         if (m_settings.security.isDevelopment || hasProblem("security", "development")) {
             return;
         }
-        for (const std::string_view key : {"session_key", "certificate", "private_key", "ca_certificate"}) {
+        for (const std::string_view key : {"session_key", "peer_key", "certificate", "private_key", "ca_certificate"}) {
             const setting_binding *binding = findBinding("security", key);
             if (!m_given.contains(binding)) {
                 reportMissing(*binding, "a path, unless development = true");
             }
         }
-        const auto peerKey = m_given.find(findBinding("security", "peer_key"));
-        if (peerKey != m_given.end()) {
-            m_result.problems.push_back({problem_code::inconsistent,
-                                         peerKey->second,
-                                         "security",
-                                         "peer_key",
-                                         "the key",
-                                         "only with development = true"});
-        }
     }
 
     ini_document m_document;
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -32,7 +32,7 @@
 
 /// Key material stays in files of its own, so that a settings file holds no secret.
 struct security_settings {
-    /// Shared key instead of mutual TLS between VMs; built-in keys where no file is named.
+    /// Built-in keys where no file is named; certificates are optional.
     bool isDevelopment = false;
     /// Paths; empty when not set.
     std::string sessionKey;
