Serve callers and operators by HTTPS

Cause: production mode required a certificate and a private key, but nothing read them; keys and bodies crossed the network in plain text. Ruled out: a proxy in front of each VM (one more process to run and to drain); TLS code of our own on the sockets. libmicrohttpd's TLS is used, TLS 1.2 and 1.3. The files are checked with libcrypto first, because MHD_start_daemon does not say which text it refused. Half a pair in development is a settings fault. Before: an https request to a daemon with a certificate could not be answered (plain HTTP only; from the sources, not run). Not measured: the cost of TLS under load.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -307,7 +307,8 @@
     d->decisions.addAllRegistered();
     const action_list actions = d->decisions.start();
     BOOST_LEAF_CHECK(d->peers.listen(d->settings.node.peerAddress));
-    BOOST_LEAF_CHECK(d->server.listen(d->settings.node.callerAddress));
+    BOOST_LEAF_CHECK(
+        d->server.listen(d->settings.node.callerAddress, {d->settings.certificateFile, d->settings.privateKeyFile}));
     d->carryOut(actions);
     d->platform.start();
     d->scheduleDeadline();
--- a/src/apps/crocuslaned/entry_node.h
+++ b/src/apps/crocuslaned/entry_node.h
@@ -25,6 +25,9 @@
         std::string ratingServiceAddress;
         std::string sessionKey;
         std::string peerKey;
+        /// PEM files for callers and operators; without both, they connect without TLS.
+        std::string certificateFile;
+        std::string privateKeyFile;
         /// SHA-256 of the key that may publish the first configuration, hexadecimal; empty for none.
         std::string bootstrapKeyHash;
         std::size_t bodyLimit = 0;
--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -77,6 +77,8 @@
     settings.ratingServiceAddress = given.platform.ratingService;
     settings.sessionKey = *sessionKey;
     settings.peerKey = *peerKey;
+    settings.certificateFile = security.certificate;
+    settings.privateKeyFile = security.privateKey;
     settings.bootstrapKeyHash = security.bootstrapKeyHash;
     if (settings.bootstrapKeyHash.empty() && security.isDevelopment) {
         settings.bootstrapKeyHash = sha256Hex(developmentOperatorKey);
@@ -99,7 +101,12 @@
     if (given.security.isDevelopment) {
         log.write(log_level::warning,
                   "development_mode",
-                  {{"detail", "no TLS; built-in keys where no file is named; not for production"}});
+                  {{"detail", "built-in keys where no file is named; not for production"}});
+    }
+    if (given.security.certificate.empty()) {
+        log.write(log_level::warning,
+                  "no_tls",
+                  {{"detail", "callers and operators connect without TLS, as no certificate is set"}});
     }
     log.write(log_level::warning,
               "peer_connections_not_encrypted",
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -125,15 +125,17 @@
         "security",
         {.key = "certificate",
          .type = value_type::path,
-         .description = "PEM file with the certificate of this VM for the links between entry VMs. Required unless "
-                        "development = true."},
+         .description = "PEM file with the certificate of this VM, and of its authorities, for HTTPS to callers and "
+                        "operators. Required unless development = true; needs private_key."},
         [](daemon_settings &settings, const key_value &value) { settings.security.certificate = asText(value); },
         [](const daemon_settings &settings) { return settings.security.certificate; }},
     setting_binding{
         "security",
         {.key = "private_key",
          .type = value_type::path,
-         .description = "PEM file with the private key of the certificate. Required unless development = true."},
+         .description =
+             "PEM file with the private key of the certificate, without a passphrase. Required unless development "
+             "= true; needs certificate."},
         [](daemon_settings &settings, const key_value &value) { settings.security.privateKey = asText(value); },
         [](const daemon_settings &settings) { return settings.security.privateKey; }},
     setting_binding{
@@ -400,9 +402,20 @@
         return false;
     }
 
+    /// Half a pair would otherwise start the VM without TLS.
+    void checkPair(std::string_view given, std::string_view needed)
+    {
+        const setting_binding *binding = findBinding("security", needed);
+        if (m_given.contains(findBinding("security", given)) && !m_given.contains(binding)) {
+            reportMissing(*binding, fmt::format("a path, as {} is set", given));
+        }
+    }
+
     void checkSecurity()
     {
         if (m_settings.security.isDevelopment || hasProblem("security", "development")) {
+            checkPair("certificate", "private_key");
+            checkPair("private_key", "certificate");
             return;
         }
         for (const std::string_view key : {"session_key", "peer_key", "certificate", "private_key", "ca_certificate"}) {
--- a/src/libs/configuration/tests/settings_test.cpp
+++ b/src/libs/configuration/tests/settings_test.cpp
@@ -141,6 +141,20 @@
     }
 }
 
+// Guards against a development node that serves without TLS although one half of its identity is set.
+TEST_CASE_METHOD(settings_fixture, "settings, development with half a TLS identity, are refused", "[settings]")
+{
+    const setting_override certificate{"security", "certificate", "/etc/crocuslane/certificate.pem"};
+    const setting_override privateKey{"security", "private_key", "/etc/crocuslane/private_key.pem"};
+    CHECK(checkSettings(m_valid, {certificate, privateKey}).value);
+    const settings_result keyMissing = checkSettings(m_valid, {certificate});
+    REQUIRE(keyMissing.problems.size() == 1);
+    CHECK(keyMissing.problems.front().key == "private_key");
+    const settings_result certificateMissing = checkSettings(m_valid, {privateKey});
+    REQUIRE(certificateMissing.problems.size() == 1);
+    CHECK(certificateMissing.problems.front().key == "certificate");
+}
+
 // Guards against errors that don't name the place of the fault.
 TEST_CASE_METHOD(settings_fixture, "command line, faults, name file or command line", "[settings]")
 {
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -7,11 +7,17 @@
 #include <ace/Reactor.h>
 #include <boost/leaf/error.hpp>
 #include <microhttpd.h>
+#include <openssl/err.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
 
 #include <algorithm>
 #include <cctype>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 #include <set>
+#include <vector>
 
 namespace crocuslane {
 
@@ -24,6 +30,8 @@
 constexpr unsigned idleConnectionTimeoutSeconds = 0;
 // libmicrohttpd may ask to be run again at once; the limit lets other handlers of the loop have their turn.
 constexpr int runsPerTurn = 16;
+// GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
+constexpr const char *tlsPriorities = "NORMAL:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 
 std::string lowerCase(std::string_view text)
 {
@@ -172,6 +180,92 @@
     MHD_Connection *m_connection;
 };
 
+/// PEM texts; libmicrohttpd keeps pointers to them.
+struct tls_identity {
+    std::string certificate;
+    std::string privateKey;
+};
+
+struct openssl_deleter {
+    void operator()(BIO *bio) const
+    {
+        BIO_free(bio);
+    }
+
+    void operator()(X509 *certificate) const
+    {
+        X509_free(certificate);
+    }
+
+    void operator()(EVP_PKEY *key) const
+    {
+        EVP_PKEY_free(key);
+    }
+};
+
+using bio_pointer = std::unique_ptr<BIO, openssl_deleter>;
+using certificate_pointer = std::unique_ptr<X509, openssl_deleter>;
+using key_pointer = std::unique_ptr<EVP_PKEY, openssl_deleter>;
+
+net_error tlsFileError(std::string_view role, const std::string &path, std::string_view cause)
+{
+    return {net_error_code::tls_file_invalid, std::string(role) + " file " + path + ": " + std::string(cause)};
+}
+
+leaf::result<std::string> readPemFile(std::string_view role, const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    if (!file.is_open() || text.empty()) {
+        return leaf::new_error(tlsFileError(role, path, "not readable or empty"));
+    }
+    return text;
+}
+
+bio_pointer makeBio(const std::string &text)
+{
+    return bio_pointer(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
+}
+
+// Without a callback, libcrypto asks for the passphrase of an encrypted key on the terminal and blocks the start.
+int refusePassphrase(char * /*buffer*/, int /*size*/, int /*isWrite*/, void * /*data*/)
+{
+    return -1;
+}
+
+// MHD_start_daemon doesn't report which text is at fault, so they are checked before.
+leaf::result<tls_identity> readIdentity(const tls_files &files)
+{
+    tls_identity identity;
+    BOOST_LEAF_ASSIGN(identity.certificate, readPemFile("certificate", files.certificate));
+    BOOST_LEAF_ASSIGN(identity.privateKey, readPemFile("private key", files.privateKey));
+    const certificate_pointer certificate(
+        PEM_read_bio_X509(makeBio(identity.certificate).get(), nullptr, &refusePassphrase, nullptr));
+    const key_pointer key(
+        PEM_read_bio_PrivateKey(makeBio(identity.privateKey).get(), nullptr, &refusePassphrase, nullptr));
+    const bool isMatching = certificate && key && X509_check_private_key(certificate.get(), key.get()) == 1;
+    ERR_clear_error();
+    if (!certificate) {
+        return leaf::new_error(tlsFileError("certificate", files.certificate, "no certificate in PEM form"));
+    }
+    if (!key) {
+        return leaf::new_error(
+            tlsFileError("private key", files.privateKey, "no private key in PEM form without a passphrase"));
+    }
+    if (!isMatching) {
+        return leaf::new_error(
+            tlsFileError("private key", files.privateKey, "not the key of the certificate " + files.certificate));
+    }
+    return identity;
+}
+
+std::vector<MHD_OptionItem> tlsOptions(tls_identity &identity)
+{
+    return {{MHD_OPTION_HTTPS_MEM_CERT, 0, identity.certificate.data()},
+            {MHD_OPTION_HTTPS_MEM_KEY, 0, identity.privateKey.data()},
+            {MHD_OPTION_HTTPS_PRIORITIES, 0, const_cast<char *>(tlsPriorities)}};
+}
+
 } // namespace
 
 struct http_server::private_data : public ACE_Event_Handler {
@@ -300,6 +394,7 @@
     http_handler &handler;
     http_server_limits limits;
     std::set<connection_exchange *> open;
+    tls_identity identity;
     MHD_Daemon *daemon = nullptr;
     int epollDescriptor = -1;
     bool needsRun = false;
@@ -325,10 +420,19 @@
     MHD_stop_daemon(d->daemon);
 }
 
-leaf::result<void> http_server::listen(const std::string &address)
+leaf::result<void> http_server::listen(const std::string &address, const tls_files &files)
 {
     BOOST_LEAF_AUTO(socketAddress, parseSocketAddress(address));
-    d->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    std::vector<MHD_OptionItem> options;
+    if (!files.certificate.empty() && !files.privateKey.empty()) {
+        BOOST_LEAF_ASSIGN(d->identity, readIdentity(files));
+        options = tlsOptions(d->identity);
+        flags |= MHD_USE_TLS;
+    }
+    options.push_back({MHD_OPTION_END, 0, nullptr});
+    errno = 0;
+    d->daemon = MHD_start_daemon(flags,
                                  0,
                                  nullptr,
                                  nullptr,
@@ -345,8 +449,15 @@
                                  static_cast<unsigned>(d->limits.connections),
                                  MHD_OPTION_LISTENING_ADDRESS_REUSE,
                                  1U,
+                                 MHD_OPTION_ARRAY,
+                                 options.data(),
                                  MHD_OPTION_END);
     if (!d->daemon) {
+        // libmicrohttpd sets errno for faults of the socket only.
+        if (errno == 0 && (flags & MHD_USE_TLS) != 0) {
+            return leaf::new_error(
+                tlsFileError("certificate", files.certificate, "refused by the TLS library, or its key is"));
+        }
         return leaf::new_error(
             net_error{net_error_code::listen_failed, "cannot listen on " + address + ": " + std::strerror(errno)});
     }
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -45,6 +45,12 @@
     std::size_t connections = 0;
 };
 
+/// PEM files; without both, the server speaks plain HTTP.
+struct tls_files {
+    std::string certificate;
+    std::string privateKey;
+};
+
 class http_handler
 {
 public:
@@ -63,8 +69,8 @@
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
-    /// @p address is "ip:port".
-    boost::leaf::result<void> listen(const std::string &address);
+    /// @p address is "ip:port". Fails with net_error, which names the file when it is at fault.
+    boost::leaf::result<void> listen(const std::string &address, const tls_files &files = {});
     /// True while a request is being read or its answer is being sent.
     bool isBusy() const;
     /// Sends what was written outside of handleRequest(); call it after each step.
