Let the operators' client use HTTPS

Cause: crocuslane spoke plain HTTP only, so it could not reach a VM in production mode. Ruled out: a scheme per entry (an entry VM lists the others without one); falling back to plain HTTP (would send the operator's key in plain text); use of the time of the TLS handshake to tell "not connected" at a timeout: such a timeout counts as lost, which is the careful answer for a publication. Before: an entry as https://IP:PORT was refused as a wrong address (from the sources, not run).

--- a/src/apps/crocuslane/command.cpp
+++ b/src/apps/crocuslane/command.cpp
@@ -26,6 +26,8 @@
 // Abbreviations of options would change their meaning when an option is added.
 constexpr int optionStyle = options::command_line_style::unix_style & ~options::command_line_style::allow_guessing;
 
+constexpr std::string_view tlsPrefix = "https://";
+
 constexpr std::string_view exitCodeHelp =
     "Exit codes: 0 success; 1 nothing was changed (not reached, or refused); 2 wrong command line or faulty text;\n"
     "3 another publication came first; 4 outcome not known; 5 not confirmed by more than half of the VMs in time.\n";
@@ -35,10 +37,13 @@
     options.visible.add_options()("help", "print this help")("json", "print JSON");
     if (command.needsConnection) {
         options.visible.add_options()("entry",
-                                      options::value<std::vector<std::string>>()->value_name("IP:PORT"),
+                                      options::value<std::vector<std::string>>()->value_name("[https://]IP:PORT"),
                                       "entry VM to ask; may be repeated (environment: CROCUSLANE_ENTRY, separated by "
                                       "commas)")(
-            "key", options::value<std::string>()->value_name("KEY"), "operator's key (environment: CROCUSLANE_KEY)");
+            "key", options::value<std::string>()->value_name("KEY"), "operator's key (environment: CROCUSLANE_KEY)")(
+            "ca",
+            options::value<std::string>()->value_name("FILE"),
+            "PEM file of the authorities that sign the certificates of https entries (default: those of the system)");
     }
 }
 
@@ -163,13 +168,31 @@
     if (entries.empty()) {
         return leaf::new_error(usage_error{"no entry VM given: use --entry IP:PORT or CROCUSLANE_ENTRY"});
     }
-    for (const std::string &entry : entries) {
+    std::size_t tlsEntries = 0;
+    for (std::string &entry : entries) {
+        const std::string given = entry;
+        if (entry.starts_with(tlsPrefix)) {
+            entry.erase(0, tlsPrefix.size());
+            ++tlsEntries;
+        }
         if (!isAddress(entry)) {
-            return leaf::new_error(
-                usage_error{fmt::format("--entry: found '{}', allowed: IP:PORT as 192.0.2.1:8080", printable(entry))});
+            return leaf::new_error(usage_error{fmt::format(
+                "--entry: found '{}', allowed: IP:PORT as 192.0.2.1:8080, or https://IP:PORT", printable(given))});
+        }
+    }
+    // An entry VM lists the others without a scheme, so one scheme has to hold for all of them.
+    if (tlsEntries != 0 && tlsEntries != entries.size()) {
+        return leaf::new_error(usage_error{"--entry: found entries with and without https://, allowed: one kind"});
+    }
+    transport_settings transport;
+    transport.isTls = tlsEntries != 0;
+    if (values.contains("ca")) {
+        transport.caFile = values["ca"].as<std::string>();
+        if (!transport.isTls) {
+            return leaf::new_error(usage_error{"--ca: allowed only with entries as https://IP:PORT"});
         }
     }
-    std::string key;
+    std::string &key = transport.key;
     if (values.contains("key")) {
         key = values["key"].as<std::string>();
     } else if (environment.variables.contains("CROCUSLANE_KEY")) {
@@ -179,7 +202,7 @@
         return leaf::new_error(usage_error{"no usable operator's key given: use --key KEY or CROCUSLANE_KEY"});
     }
     connection opened;
-    opened.m_transport = environment.makeTransport(key);
+    opened.m_transport = environment.makeTransport(transport);
     opened.m_client = std::make_unique<operator_client>(*opened.m_transport, std::move(entries));
     return opened;
 }
--- a/src/apps/crocuslane/command.h
+++ b/src/apps/crocuslane/command.h
@@ -39,7 +39,7 @@
     /// Standard error is a terminal.
     bool isTerminal = false;
     std::map<std::string, std::string> variables;
-    std::function<std::unique_ptr<operator_transport>(const std::string &key)> makeTransport;
+    std::function<std::unique_ptr<operator_transport>(const transport_settings &settings)> makeTransport;
 };
 
 /// Error object: the command line is wrong.
--- a/src/apps/crocuslane/curl_transport.cpp
+++ b/src/apps/crocuslane/curl_transport.cpp
@@ -60,20 +60,22 @@
     curl_off_t connectTime = 0;
     curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connectTime);
     return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT
+        || code == CURLE_SSL_CONNECT_ERROR || code == CURLE_PEER_FAILED_VERIFICATION || code == CURLE_SSL_CACERT_BADFILE
         || (code == CURLE_OPERATION_TIMEDOUT && connectTime == 0);
 }
 
 class curl_transport : public operator_transport
 {
 public:
-    explicit curl_transport(const std::string &key)
+    explicit curl_transport(const transport_settings &settings)
+        : m_settings(settings)
     {
         curl_global_init(CURL_GLOBAL_DEFAULT);
         m_headers.reset(curl_slist_append(nullptr, "Content-Type: text/plain"));
         // Without this, curl waits for "100 Continue" before it sends a long text.
         curl_slist_append(m_headers.get(), "Expect:");
-        if (!key.empty()) {
-            curl_slist_append(m_headers.get(), ("Authorization: Bearer " + key).c_str());
+        if (!settings.key.empty()) {
+            curl_slist_append(m_headers.get(), ("Authorization: Bearer " + settings.key).c_str());
         }
     }
 
@@ -104,7 +106,13 @@
     {
         easy_pointer handle(curl_easy_init());
         CURL *curl = handle.get();
-        curl_easy_setopt(curl, CURLOPT_URL, fmt::format("http://{}{}", request.address, request.target).c_str());
+        curl_easy_setopt(
+            curl,
+            CURLOPT_URL,
+            fmt::format("{}://{}{}", m_settings.isTls ? "https" : "http", request.address, request.target).c_str());
+        if (!m_settings.caFile.empty()) {
+            curl_easy_setopt(curl, CURLOPT_CAINFO, m_settings.caFile.c_str());
+        }
         // Entry VMs are reached directly, even when the environment names a proxy.
         curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
         curl_easy_setopt(curl, CURLOPT_HTTPHEADER, m_headers.get());
@@ -159,14 +167,15 @@
         }
     }
 
+    transport_settings m_settings;
     list_pointer m_headers;
 };
 
 } // namespace
 
-std::unique_ptr<operator_transport> makeCurlTransport(const std::string &key)
+std::unique_ptr<operator_transport> makeCurlTransport(const transport_settings &settings)
 {
-    return std::make_unique<curl_transport>(key);
+    return std::make_unique<curl_transport>(settings);
 }
 
 } // namespace crocuslane
--- a/src/apps/crocuslane/operator_transport.h
+++ b/src/apps/crocuslane/operator_transport.h
@@ -41,7 +41,15 @@
     virtual std::vector<transport_reply> exchange(const std::vector<transport_request> &requests) = 0;
 };
 
-/// HTTP by libcurl, with the operator's key on each request.
-std::unique_ptr<operator_transport> makeCurlTransport(const std::string &key);
+struct transport_settings {
+    /// The operator's key, sent with each request.
+    std::string key;
+    bool isTls = false;
+    /// PEM file of the authorities that TLS trusts; empty for those of the system.
+    std::string caFile;
+};
+
+/// HTTP or HTTPS by libcurl.
+std::unique_ptr<operator_transport> makeCurlTransport(const transport_settings &settings);
 
 } // namespace crocuslane
--- a/src/apps/crocuslane/tests/command_test.cpp
+++ b/src/apps/crocuslane/tests/command_test.cpp
@@ -81,6 +81,21 @@
     CHECK_THAT(err(), Contains("--entry"));
 }
 
+// Guards against an operator's key that is sent without TLS although an entry asks for it, and against an authority
+// file that is ignored.
+TEST_CASE_METHOD(command_fixture, "entries, https, are never asked without TLS", "[command]")
+{
+    const std::string secure = "https://" + vm(0).address();
+    CHECK(runPlain({"status", "--key", "dev-operator", "--entry", secure}) == exit_code::failure);
+    CHECK_THAT(err(), Contains(vm(0).address()));
+    CHECK(runPlain({"status", "--key", "dev-operator", "--entry", secure + "," + vm(1).address()}) == exit_code::usage);
+    CHECK_THAT(err(), Contains("with and without https://"));
+    CHECK(runPlain({"status", "--key", "dev-operator", "--entry", "https://localhost"}) == exit_code::usage);
+    CHECK(run({"status", "--ca", "/etc/ca.pem"}) == exit_code::usage);
+    CHECK_THAT(err(), Contains("--ca"));
+    CHECK(m_requests.empty());
+}
+
 // Guards against a publication that is not followed VM by VM.
 TEST_CASE_METHOD(command_fixture, "publish, all VMs confirm, is in force everywhere", "[command]")
 {
