--- a/measurements/harness/policies.h
+++ b/measurements/harness/policies.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "harness/baseline_pickers.h"
+#include "harness/report.h"
 #include "harness/simulation.h"
 
 #include <cstdint>
@@ -20,8 +21,8 @@
 
 policy productPolicy(const workload_parameters &workload);
 policy baselinePolicy(const workload_parameters &workload, std::string name, const baseline_options &options);
-/// The product first.
-std::vector<policy> allPolicies(const workload_parameters &workload, bool isProductOnly);
+/// The product first. A quick run has one baseline only, to stay within its time.
+std::vector<policy> allPolicies(const workload_parameters &workload, const measure_options &options);
 /// Round robin, least reported load and two random choices.
 std::vector<policy> baselinePolicies(const workload_parameters &workload);
 
--- a/measurements/harness/simulation.cpp
+++ b/measurements/harness/simulation.cpp
@@ -810,7 +810,8 @@
     auto &mutableRun = const_cast<simulation &>(run);
     for (std::size_t runner = 0; runner < run.runnerCount(); ++runner) {
         const engine_totals &totals = mutableRun.engine(runner).totals();
-        performed += static_cast<double>(totals.generatedTokens) + prefillShare * totals.prefilledTokens;
+        performed +=
+            static_cast<double>(totals.generatedTokens) + prefillShare * static_cast<double>(totals.prefilledTokens);
     }
     return needed > 0.0 ? performed / needed - 1.0 : 0.0;
 }
--- a/measurements/measure/blocking.cpp
+++ b/measurements/measure/blocking.cpp
@@ -61,7 +61,7 @@
     workload.length = options.isQuick ? std::chrono::seconds(60) : std::chrono::seconds(120);
     report_table table("blocking-" + deployment.name + "-" + std::to_string(std::lround(100.0 * share)),
                        {"short p99 ratio", "short p99 ms", "without long ms", "long tokens/s"});
-    const std::vector<policy> policies = allPolicies(workload, options.isProductOnly);
+    const std::vector<policy> policies = allPolicies(workload, options);
     load_result result;
     double productLong = 0.0;
     double bestLong = 0.0;
--- a/measurements/measure/stragglers.cpp
+++ b/measurements/measure/stragglers.cpp
@@ -69,7 +69,7 @@
         scenario.workload.length = options.isQuick ? std::chrono::seconds(60) : std::chrono::seconds(120);
         report_table table("stragglers-" + scenario.place.name,
                            {"short p99 ratio", "short p99 ms", "none slowed ms", "extra work"});
-        std::vector<policy> policies = allPolicies(scenario.workload, options.isProductOnly);
+        std::vector<policy> policies = allPolicies(scenario.workload, options);
         if (!options.isProductOnly) {
             policies.push_back(
                 baselinePolicy(scenario.workload, "random + hedging alone", {baseline_kind::two_random_choices, true}));
--- a/src/plugins/routing/runner_selector.cpp
+++ b/src/plugins/routing/runner_selector.cpp
@@ -74,7 +74,8 @@
                               steady_time now) const
 {
     const runner_state &state = m_table.at(candidate.index);
-    const double cached = std::min<double>(request.work.promptTokens, candidate.cachedBlocks * tokensPerBlock);
+    const double cached =
+        std::min<double>(request.work.promptTokens, static_cast<double>(candidate.cachedBlocks) * tokensPerBlock);
     const double ownWork = promptTokenShare * (request.work.promptTokens - cached) + request.work.outputTokens;
     const double others = state.othersInFlight(now);
     const double alone = state.speed.secondsPerToken(now, state.ownStreaming).value_or(typicalSpeed);
