Say not_run for a keyed call only when the order of the log decided it

Cause: a caller that sent a key to one entry VM, lost the answer and repeated the key at another got not_run from the second (log unavailable, stale, over the limit, shutting down), although the first had run the call. Ruled out: asking the ledger of this VM first (the claim of the earlier try may still be on its way to the log). Such a caller repeats the same key, which is safe.

--- a/src/plugins/requests/call_flow.cpp
+++ b/src/plugins/requests/call_flow.cpp
@@ -50,7 +50,8 @@
 {
     bool isRepeatable = false;
     if (std::optional<request_error> error = check(call, caller, isRepeatable)) {
-        actions.push_back(refuse_request{call.request, std::move(*error)});
+        const bool hasKey = !isRepeatable && !call.idempotencyKey.empty();
+        actions.push_back(refuse_request{call.request, hasKey ? beforeClaim(std::move(*error)) : std::move(*error)});
         return;
     }
     admission_grant grant;
@@ -58,7 +59,8 @@
         auto admitted = m_environment.services.admission->admit(call.request, caller, call.service, 0);
         if (auto *error = std::get_if<request_error>(&admitted)) {
             error->execution = execution_state::not_run;
-            actions.push_back(refuse_request{call.request, std::move(*error)});
+            actions.push_back(
+                refuse_request{call.request, isRepeatable ? std::move(*error) : beforeClaim(std::move(*error))});
             return;
         }
         grant = std::get<admission_grant>(admitted);
@@ -100,7 +102,9 @@
             actions);
         return;
     case claim_verdict::refused:
-        end(run, {decision.reason, execution_state::not_run, "the claim of the key was refused", 0.0}, actions);
+        end(run,
+            beforeClaim({decision.reason, execution_state::not_run, "the claim of the key was refused", 0.0}),
+            actions);
         return;
     }
 }
--- a/src/plugins/requests/request_gate.cpp
+++ b/src/plugins/requests/request_gate.cpp
@@ -30,6 +30,19 @@
     return {code, execution_state::not_run, std::move(message), retryAfterSeconds};
 }
 
+request_error beforeClaim(request_error error)
+{
+    // These refusals would come again for any request of this caller; no entry VM can have run it.
+    const bool isNeverRun = error.code == error_code::unauthenticated || error.code == error_code::bad_request
+        // The log says that the one that might have run it did not.
+        || error.code == error_code::not_repeated;
+    if (!isNeverRun && error.execution == execution_state::not_run) {
+        error.execution = execution_state::unknown;
+        error.message += "; this try did not run, an earlier one with this key may have: repeat it with the same key";
+    }
+    return error;
+}
+
 std::variant<caller, request_error> checkNewRequest(const flow_environment &environment, const std::string &keyHash)
 {
     if (environment.isStopping) {
--- a/src/plugins/requests/requests_plugin.cpp
+++ b/src/plugins/requests/requests_plugin.cpp
@@ -89,7 +89,13 @@
 
     void on(const service_call_received &event, action_list &actions)
     {
-        if (const std::optional<caller> from = admitNew(event.call.request, event.call.callerKeyHash, 0, actions)) {
+        const std::size_t before = actions.size();
+        const std::optional<caller> from = admitNew(event.call.request, event.call.callerKeyHash, 0, actions);
+        if (!from && !event.call.idempotencyKey.empty()) {
+            auto &refusal = std::get<refuse_request>(actions[before]);
+            refusal.error = beforeClaim(std::move(refusal.error));
+        }
+        if (from) {
             m_calls->receive(event.call, *from, actions);
         }
     }
