Correct the reason for the port of the HTTPS test

Ruled out: a fixed range of ports (test runs at the same time would still meet). Conclusion: comment only.

--- a/src/libs/net/tests/https_test.cpp
+++ b/src/libs/net/tests/https_test.cpp
@@ -135,8 +135,7 @@
             [] { return std::string("no error object"); });
     }
 
-    /// A port chosen by the system: the server shares its port with other processes (SO_REUSEPORT), so that listening
-    /// on the port of another test run would not fail.
+    /// A port chosen by the system, so that test runs at the same time don't use the same one.
     static std::string freeAddress()
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
