Keep one socket watcher per descriptor number to the end

Cause: daemons still ended now and then with a segmentation fault under load and at a stop; a core showed the reactor calling a destroyed watcher of descriptor 45. A watcher whose descriptor is closed first can't be removed. Ruled out: the decision code (address sanitizer and debugger runs without a finding, 3000 and 6000 requests); failing calls of the reactor in a run without contention (none in 3000 requests).

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -67,6 +67,8 @@
             return 0;
         }
 
+        bool isRegistered = false;
+
     private:
         private_data &m_owner;
         curl_socket_t m_socket;
@@ -191,34 +193,30 @@
 
     void setWatch(curl_socket_t socket, int what)
     {
-        const auto found = watchers.find(socket);
-        if (what == CURL_POLL_REMOVE) {
-            if (found != watchers.end()) {
-                loop.reactor().remove_handler(found->second.get(),
-                                              ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-                // The reactor still uses the watcher whose event it is dispatching, so it is destroyed from the loop.
-                if (retiredWatchers.empty()) {
-                    loop.schedule(duration::zero(), [this] { retiredWatchers.clear(); });
-                }
-                retiredWatchers.push_back(std::move(found->second));
-                watchers.erase(found);
-            }
-            return;
+        std::unique_ptr<socket_watcher> &watcher = watchers[socket];
+        if (!watcher) {
+            watcher = std::make_unique<socket_watcher>(*this, socket);
         }
         ACE_Reactor_Mask mask = 0;
-        if (what & CURL_POLL_IN) {
+        if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) {
             mask |= ACE_Event_Handler::READ_MASK;
         }
-        if (what & CURL_POLL_OUT) {
+        if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) {
             mask |= ACE_Event_Handler::WRITE_MASK;
         }
-        if (found == watchers.end()) {
-            auto watcher = std::make_unique<socket_watcher>(*this, socket);
-            loop.reactor().register_handler(watcher.get(), mask);
-            watchers.emplace(socket, std::move(watcher));
+        if (mask == 0) {
+            if (watcher->isRegistered) {
+                loop.reactor().remove_handler(watcher.get(),
+                                              ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+            }
+            watcher->isRegistered = false;
+            return;
+        }
+        if (watcher->isRegistered) {
+            loop.reactor().mask_ops(watcher.get(), mask, ACE_Reactor::SET_MASK);
             return;
         }
-        loop.reactor().mask_ops(found->second.get(), mask, ACE_Reactor::SET_MASK);
+        watcher->isRegistered = loop.reactor().register_handler(watcher.get(), mask) == 0;
     }
 
     void setTimer(long milliseconds)
@@ -287,8 +285,9 @@
     CURLM *multi = nullptr;
     transfer_number lastNumber = 0;
     std::map<transfer_number, std::unique_ptr<transfer>> transfers;
+    /// One for each descriptor number that was ever used, kept to the end: the reactor may still dispatch an event of a
+    /// watcher that it was told to remove, and it can't remove one whose descriptor was closed first.
     std::map<curl_socket_t, std::unique_ptr<socket_watcher>> watchers;
-    std::vector<std::unique_ptr<socket_watcher>> retiredWatchers;
     bool isInCallback = false;
     std::vector<std::unique_ptr<transfer>> cancelledInCallback;
     std::vector<transfer_number> startedInCallback;
