--- a/measurements/measure/blocking.cpp
+++ b/measurements/measure/blocking.cpp
@@ -35,9 +35,7 @@
     }
     simulation run(deployment, workload, policy.setup, seed);
     run.run(requests, workload.length + drain);
-    const auto isShort = [&workload](const request_outcome &answer) {
-        return answer.kind == 0 && answer.arrival >= warmUp;
-    };
+    const auto isShort = [](const request_outcome &answer) { return answer.kind == 0 && answer.arrival >= warmUp; };
     figures found;
     found.shortP99 = quantile(latencies(run, isShort, missingSeconds), 0.99);
     for (const request_outcome &answer : run.outcomes()) {
--- a/src/libs/logstream/tests/logstream_test.cpp
+++ b/src/libs/logstream/tests/logstream_test.cpp
@@ -35,7 +35,7 @@
         return sent.front();
     }
 
-    log_records_read read(std::vector<append_record> appends, log_offset first)
+    log_records_read read(const std::vector<append_record> &appends, log_offset first)
     {
         log_records_read read;
         read.stream = std::string("s");
--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -108,9 +108,9 @@
     ACE_Time_Value wait;
     wait.set(toSeconds(std::max(delay, duration::zero())));
     // ACE hands the pointer back as it is; it carries the number of the timer.
-    // NOLINTNEXTLINE(performance-no-int-to-ptr)
-    d->aceTimers[number] =
-        d->reactor->schedule_timer(d.get(), reinterpret_cast<const void *>(static_cast<std::intptr_t>(number)), wait);
+    const auto *argument =
+        reinterpret_cast<const void *>(static_cast<std::intptr_t>(number)); // NOLINT(performance-no-int-to-ptr)
+    d->aceTimers[number] = d->reactor->schedule_timer(d.get(), argument, wait);
     return number;
 }
 
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -209,8 +209,8 @@
     CHECK(m_body == "next");
 }
 
-// Guards against a socket watcher that is destroyed while the reactor still dispatches its event, when a connection ends
-// with its transfer. The sanitizers see it in the first transfer.
+// Guards against a socket watcher that is destroyed while the reactor still dispatches its event, when a connection
+// ends with its transfer. The sanitizers see it in the first transfer.
 TEST_CASE_METHOD(http_fixture, "http client, connections that end with their transfer, are released later", "[net]")
 {
     for (int transfer = 0; transfer < 50; ++transfer) {
--- a/src/plugins/requests/request_gate.cpp
+++ b/src/plugins/requests/request_gate.cpp
@@ -33,7 +33,8 @@
 request_error beforeClaim(request_error error)
 {
     // These refusals would come again for any request of this caller; no entry VM can have run it.
-    const bool isNeverRun = error.code == error_code::unauthenticated || error.code == error_code::bad_request
+    const bool isNeverRun = error.code == error_code::unauthenticated
+        || error.code == error_code::bad_request
         // The log says that the one that might have run it did not.
         || error.code == error_code::not_repeated;
     if (!isNeverRun && error.execution == execution_state::not_run) {
--- a/src/plugins/requests/request_gate.h
+++ b/src/plugins/requests/request_gate.h
@@ -9,8 +9,8 @@
 /// First checks of a new request: stop state, freshness, and who the caller is.
 std::variant<caller, request_error> checkNewRequest(const flow_environment &environment, const std::string &keyHash);
 
-/// The same refusal for a call with an idempotency key that was not decided by the order of the log: another entry VM may
-/// have run the call for the same key, so only this try is known not to have run.
+/// The same refusal for a call with an idempotency key that was not decided by the order of the log: another entry VM
+/// may have run the call for the same key, so only this try is known not to have run.
 request_error beforeClaim(request_error error);
 
 /// An error of a request of which nothing was executed.
--- a/src/plugins/routing/tests/routing_test.cpp
+++ b/src/plugins/routing/tests/routing_test.cpp
@@ -31,7 +31,7 @@
         vm_entry made;
         made.id = id;
         made.role = vm_role::model;
-        made.service = m_service;
+        made.service = testService;
         made.address = "192.0.2.1:" + std::to_string(id.size());
         made.region = region;
         return made;
@@ -44,12 +44,13 @@
 
     void report(const std::string &id, std::uint32_t used = 0, backend_state state = backend_state::live)
     {
-        m_kernel.handle(runner_load_reported{{runner_id(id), 4, used, 0, {m_version}, {}, state}});
+        m_kernel.handle(runner_load_reported{{runner_id(id), 4, used, 0, {testVersion}, {}, state}});
     }
 
     void use(const std::vector<std::string> &ids)
     {
         std::vector<vm_entry> entries;
+        entries.reserve(ids.size());
         for (const std::string &id : ids) {
             entries.push_back(entry(id));
         }
@@ -62,8 +63,8 @@
     static pick_request request(bool isLong = false)
     {
         pick_request made;
-        made.service = m_service;
-        made.version = m_version;
+        made.service = testService;
+        made.version = testVersion;
         made.work.isLong = isLong;
         made.work.outputTokens = 100;
         return made;
@@ -91,8 +92,8 @@
         return chosen;
     }
 
-    static inline const service_id m_service{"answers"};
-    static inline const version_id m_version{"small@1"};
+    static inline const service_id testService{"answers"};
+    static inline const version_id testVersion{"small@1"};
     manual_clock m_clock;
     seeded_random m_random{1};
     null_timeline m_timeline;
@@ -115,7 +116,7 @@
     CHECK(pick(request()) == "a");
     start("a");
     CHECK(pick(request()).empty());
-    CHECK(m_picker->hasRunner(m_service, m_version));
+    CHECK(m_picker->hasRunner(testService, testVersion));
 }
 
 // Guards against new work on a leaving runner, and against a mark that a lagging source clears.
@@ -267,6 +268,7 @@
 TEST_CASE_METHOD(routing_fixture, "watched runners, many in the list, stay a fixed few", "[routing]")
 {
     std::vector<vm_entry> entries;
+    entries.reserve(500);
     for (int index = 0; index < 500; ++index) {
         entries.push_back(entry("runner-" + std::to_string(index)));
     }
