Count queued requests by caller group

Cause: crocuslane groups showed 0 queued for every group, since nothing told admission of waiting requests. Ruled out: counting in the dispatch round, which asks once per lane and not for each request. Before: the new test fails, nothing queued.

--- a/src/plugins/requests/call_flow.cpp
+++ b/src/plugins/requests/call_flow.cpp
@@ -121,6 +121,7 @@
         run.grant.standing, request_class::interactive, run.attemptsStarted > 0, run.grant.order};
     m_environment.deadlines.set(request, m_environment.now() + queueLimit(request_class::interactive));
     m_environment.isDispatchWanted = true;
+    m_environment.enqueued.push_back(request);
     if (const std::optional<request_id> displaced = m_environment.queue.push(request, lane, position)) {
         m_environment.displaced.push_back(*displaced);
     }
--- a/src/plugins/requests/flow_environment.h
+++ b/src/plugins/requests/flow_environment.h
@@ -39,6 +39,8 @@
     bool isStopping = false;
     /// Set when a waiting request may have become startable in this step.
     bool isDispatchWanted = false;
+    /// Requests that were put into the queue in this step.
+    std::vector<request_id> enqueued;
     /// Requests that gave way in a full queue in this step.
     std::vector<request_id> displaced;
 
--- a/src/plugins/requests/model_flow.cpp
+++ b/src/plugins/requests/model_flow.cpp
@@ -125,6 +125,7 @@
     const queue_position position{run.grant.standing, run.work.urgency, isContinuation, run.grant.order};
     m_environment.deadlines.set(request, m_environment.now() + queueLimit(run.work.urgency));
     m_environment.isDispatchWanted = true;
+    m_environment.enqueued.push_back(request);
     const std::optional<request_id> displaced = m_environment.queue.push(request, lane, position);
     if (displaced) {
         m_environment.displaced.push_back(*displaced);
--- a/src/plugins/requests/requests_plugin.cpp
+++ b/src/plugins/requests/requests_plugin.cpp
@@ -195,6 +195,11 @@
                                                    : m_calls->tryStart(request, actions);
             });
         }
+        for (const request_id &request : std::exchange(m_environment->enqueued, {})) {
+            if (m_environment->services.admission && m_environment->queue.contains(request)) {
+                m_environment->services.admission->noteQueued(request);
+            }
+        }
     }
 
     std::unique_ptr<flow_environment> m_environment;
--- a/src/plugins/requests/tests/call_flow_test.cpp
+++ b/src/plugins/requests/tests/call_flow_test.cpp
@@ -95,6 +95,15 @@
     checkError(call("d", "book"), error_code::idempotency_key_required, execution_state::not_run);
 }
 
+// Guards against a view by caller group in which nobody ever waits.
+TEST_CASE_METHOD(requests_fixture, "repeatable call, no runner free, is counted as queued", "[requests]")
+{
+    call("a", "status");
+    m_fakes->freeRunners = {"d1", "d2"};
+    call("b", "status");
+    CHECK(m_fakes->queued == std::vector<request_id>{request_id("a")});
+}
+
 // Guards against not_run for a key that an earlier try ran at another entry VM: without the log this one can't know.
 TEST_CASE_METHOD(requests_fixture, "claimed call, refused before the claim, is unknown", "[requests]")
 {
@@ -105,7 +114,7 @@
                execution_state::unknown);
     send(stop_requested{});
     checkError(call("b", "book", "1-x"), error_code::shutting_down, execution_state::unknown);
-    checkError(call("c", "look"), error_code::shutting_down, execution_state::not_run);
+    checkError(call("c", "status"), error_code::shutting_down, execution_state::not_run);
 }
 
 // Guards against a look-up that fails with one instance, and against retries without budget.
--- a/src/plugins/requests/tests/fake_services.h
+++ b/src/plugins/requests/tests/fake_services.h
@@ -29,6 +29,7 @@
     std::vector<version_id> candidates{version_id("small@1"), version_id("large@1")};
     bool isBoundBySession = false;
     std::set<version_id> forbidden;
+    std::vector<request_id> queued;
     bool isAdmitting = true;
     std::map<request_id, admission_grant> grants;
     std::set<request_id> admitted;
@@ -117,8 +118,9 @@
     {
         releases += admitted.erase(request);
     }
-    void noteQueued(const request_id & /*request*/) override
+    void noteQueued(const request_id &request) override
     {
+        queued.push_back(request);
     }
     std::vector<group_demand> localDemand() const override
     {
