--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -33,11 +33,15 @@
     target_link_libraries(crocuslane_plugins INTERFACE crocuslane_services ${ARG_LIBRARIES})
 endfunction()
 
-# crocuslane_add_test(NAME SOURCES ... LIBRARIES ...): one Catch2 program and one CTest test of the same name. Link a
-# plug-in under test by its object library: LIBRARIES plugin_NAME.
+# crocuslane_add_test(NAME SOURCES ... LIBRARIES ... DEFINITIONS ...): one Catch2 program and one CTest test of the same
+# name. Link a plug-in under test by its object library: LIBRARIES plugin_NAME.
 function(crocuslane_add_test name)
-    cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
+    if(NOT CROCUSLANE_TESTS)
+        return()
+    endif()
+    cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES;DEFINITIONS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(${name} PRIVATE test_main ${ARG_LIBRARIES})
+    target_compile_definitions(${name} PRIVATE ${ARG_DEFINITIONS})
     add_test(NAME ${name} COMMAND ${name})
 endfunction()
--- a/measurements/harness/baseline_pickers.cpp
+++ b/measurements/harness/baseline_pickers.cpp
@@ -35,6 +35,7 @@
     {
         m_context = &context;
         context.services.offer<runner_picker>(*this);
+        context.services.offer<runner_use_exchange>(*this);
     }
 
     void start(action_list & /*actions*/) override
--- a/measurements/harness/control_exchange.cpp
+++ b/measurements/harness/control_exchange.cpp
@@ -50,6 +50,7 @@
         m_context = &context;
         context.services.offer<admission_controller>(*this);
         context.services.offer<runner_picker>(*this);
+        context.services.offer<runner_use_exchange>(*this);
     }
 
     void handle(const event & /*event*/, action_list & /*actions*/) override
--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -5,6 +5,7 @@
 #include "base/random_source.h"
 #include "edge/backend_client.h"
 #include "edge/caller_interface.h"
+#include "edge/decision_loop.h"
 #include "edge/log_client.h"
 #include "edge/operator_interface.h"
 #include "edge/peer_network.h"
@@ -21,8 +22,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <deque>
-#include <optional>
 
 namespace crocuslane {
 
@@ -38,10 +37,9 @@
 
 } // namespace
 
-struct entry_node::private_data {
+struct entry_node::private_data : public decision_host {
     private_data(entry_node &owner, entry_node::settings given, const clock &clock, event_loop &loop, logger &log)
         : settings(std::move(given))
-        , time(clock)
         , loop(loop)
         , log(log)
         , random(systemSeed())
@@ -66,6 +64,7 @@
         , platform(loop, http, owner, {settings.vmListAddress, settings.ratingServiceAddress})
         , backends(http, owner)
         , peers({loop, owner, log, hybridTime, settings.node, settings.peerKey})
+        , steps(decisions, *this, loop, clock)
     {
         operators.setCallers(callers);
         publication.freshnessLimit = settings.freshnessLimit;
@@ -91,45 +90,44 @@
         return metrics.text();
     }
 
-    void handlePending()
+    void observe(const event &next) override
     {
-        if (isHandling) {
-            return;
-        }
-        isHandling = true;
-        while (!pending.empty()) {
-            event next = std::move(pending.front());
-            pending.pop_front();
-            metrics.observe(next);
-            const bool isStopRequest = std::holds_alternative<stop_requested>(next);
-            const steady_time begin = time.steadyNow();
-            const action_list actions = decisions.handle(std::move(next));
-            metrics.observeStep(time.steadyNow() - begin);
-            carryOut(actions);
-            if (isStopRequest && !isStopping) {
-                isStopping = true;
-                log.write(log_level::info, "stopping", {});
-                loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
-            }
-        }
-        isHandling = false;
-        server.flush();
-        scheduleDeadline();
+        metrics.observe(next);
+        isStopRequested = isStopRequested || std::holds_alternative<stop_requested>(next);
+    }
+
+    void observeStep(duration processorTime) override
+    {
+        metrics.observeStep(processorTime);
+    }
+
+    void carryOut(const action &action) override
+    {
+        metrics.observe(action);
+        std::visit([this](const auto &content) { carryOut(content); }, action);
     }
 
-    void carryOut(const action_list &actions)
+    void settle() override
     {
-        for (const action &action : actions) {
-            metrics.observe(action);
-            std::visit([this](const auto &content) { carryOut(content); }, action);
+        server.flush();
+        if (isStopRequested && !isStopping) {
+            isStopping = true;
+            log.write(log_level::info, "stopping", {});
+            loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
         }
     }
 
+    /// Actions of plug-ins that another set of ports loads.
+    template<typename other_action>
+    void carryOut(const other_action & /*action*/)
+    {
+    }
+
     void carryOut(const start_attempt &action)
     {
         const model_body *body = callers.modelBody(action.request);
         if (!body) {
-            pending.push_back(attempt_failed{action.attempt, attempt_failure::not_sent});
+            steps.deliver(attempt_failed{action.attempt, attempt_failure::not_sent});
             return;
         }
         log.write(log_level::debug,
@@ -145,7 +143,7 @@
     {
         const call_body *body = callers.callBody(action.request);
         if (!body) {
-            pending.push_back(attempt_failed{action.attempt, attempt_failure::not_sent});
+            steps.deliver(attempt_failed{action.attempt, attempt_failure::not_sent});
             return;
         }
         backends.start(action, *body);
@@ -246,32 +244,7 @@
         loop.schedule(stopCheckInterval, [this] { stopWhenIdle(); });
     }
 
-    void scheduleDeadline()
-    {
-        const steady_time wanted = decisions.nextDeadline();
-        if (deadlineTimer && scheduledDeadline == wanted) {
-            return;
-        }
-        if (deadlineTimer) {
-            loop.cancel(*deadlineTimer);
-            deadlineTimer.reset();
-        }
-        scheduledDeadline = wanted;
-        if (wanted == steady_time::max()) {
-            return;
-        }
-        // A deadline that stays in the past must not starve the sockets.
-        constexpr std::chrono::milliseconds shortestWait{1};
-        const duration wait = std::max<duration>(wanted - time.steadyNow(), shortestWait);
-        deadlineTimer = loop.schedule(wait, [this] {
-            deadlineTimer.reset();
-            pending.push_back(timer_expired{});
-            handlePending();
-        });
-    }
-
     entry_node::settings settings;
-    const clock &time;
     event_loop &loop;
     logger &log;
     seeded_random random;
@@ -288,11 +261,9 @@
     platform_client platform;
     backend_client backends;
     peer_network peers;
-    std::deque<event> pending;
-    bool isHandling = false;
+    decision_loop steps;
+    bool isStopRequested = false;
     bool isStopping = false;
-    std::optional<timer_number> deadlineTimer;
-    steady_time scheduledDeadline;
 };
 
 entry_node::entry_node(settings settings, const clock &clock, event_loop &loop, logger &log)
@@ -303,7 +274,7 @@
 entry_node::~entry_node()
 {
     // Connections that end now would deliver events into parts that are being destroyed.
-    d->isHandling = true;
+    d->steps.close();
 }
 
 boost::leaf::result<void> entry_node::start()
@@ -313,16 +284,14 @@
     BOOST_LEAF_CHECK(d->peers.listen(d->settings.node.peerAddress));
     BOOST_LEAF_CHECK(
         d->server.listen(d->settings.node.callerAddress, {d->settings.certificateFile, d->settings.privateKeyFile}));
-    d->carryOut(actions);
+    d->steps.begin(actions);
     d->platform.start();
-    d->scheduleDeadline();
     return {};
 }
 
 void entry_node::deliver(event event)
 {
-    d->pending.push_back(std::move(event));
-    d->handlePending();
+    d->steps.deliver(std::move(event));
 }
 
 } // namespace crocuslane
--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -1,13 +1,14 @@
 #include "base/digest.h"
 #include "base/logger.h"
 #include "configuration/settings.h"
+#include "edge/port_set.h"
 #include "entry_node.h"
 #include "net/event_loop.h"
 #include "net/net_error.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
-#include <fmt/core.h>
+#include <fmt/format.h>
 
 #include <fstream>
 #include <optional>
@@ -133,6 +134,19 @@
         });
 }
 
+int runWithPorts(const daemon_command_line &commandLine)
+{
+    const port_set_runner runner = findPortSet(commandLine.ports);
+    if (runner == nullptr) {
+        fmt::print(stderr,
+                   "crocuslaned: --ports: found '{}'; allowed: {}\n",
+                   commandLine.ports,
+                   fmt::join(portSetNames(), ", "));
+        return exitUsage;
+    }
+    return runner({commandLine.settingsFile, commandLine.wantsCheck});
+}
+
 } // namespace
 
 } // namespace crocuslane
@@ -152,8 +166,11 @@
                 fmt::print("crocuslaned {}\n", CROCUSLANE_VERSION);
                 return 0;
             }
+            if (!commandLine.ports.empty()) {
+                return runWithPorts(commandLine);
+            }
             BOOST_LEAF_AUTO(settings, loadSettings(commandLine));
-            return run(settings);
+            return commandLine.wantsCheck ? 0 : run(settings);
         },
         [](const configuration_error &error) {
             for (const configuration_problem &problem : error.problems) {
--- a/src/plugins/requests/deadline_set.cpp
+++ b/src/libs/base/deadline_set.cpp
@@ -1,4 +1,4 @@
-#include "plugins/requests/deadline_set.h"
+#include "base/deadline_set.h"
 
 namespace crocuslane {
 
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -438,7 +438,11 @@
 {
     options::options_description description("Options");
     description.add_options()("help", "print this help")("version", "print the version")(
-        "settings", options::value<std::string>()->value_name("FILE"), "settings file (INI)");
+        "settings", options::value<std::string>()->value_name("FILE"), "settings file (INI)")(
+        "ports",
+        options::value<std::string>()->value_name("NAME"),
+        "set of ports for another environment, with settings of its own; none for the product's own interface")(
+        "check", "check the settings and end");
     for (const setting_binding &binding : settingTable) {
         const std::string name = fmt::format("{}.{}", binding.section, binding.rule.key);
         std::string text = fmt::format("{} Allowed: {}.", binding.rule.description, allowedText(binding.rule));
@@ -478,6 +482,10 @@
         options::store(parsed, values);
         commandLine.wantsHelp = values.contains("help");
         commandLine.wantsVersion = values.contains("version");
+        commandLine.wantsCheck = values.contains("check");
+        if (values.contains("ports")) {
+            commandLine.ports = values["ports"].as<std::string>();
+        }
         if (values.contains("settings")) {
             commandLine.settingsFile = values["settings"].as<std::string>();
         }
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -74,6 +74,9 @@
     std::vector<setting_override> overrides;
     bool wantsHelp = false;
     bool wantsVersion = false;
+    /// Set of ports to run with; empty for the product's own.
+    std::string ports;
+    bool wantsCheck = false;
 };
 
 struct settings_result {
--- a/src/libs/edge/caller_interface.cpp
+++ b/src/libs/edge/caller_interface.cpp
@@ -337,9 +337,9 @@
         request->exchange->send("event: error\ndata: " + body + "\n\n");
         request->exchange->finish();
     } else {
-        http_headers headers = {{"content-type", std::string(jsonType)}, {"x-request-id", request->callerRequestId}};
+        header_list headers = {{"content-type", std::string(jsonType)}, {"x-request-id", request->callerRequestId}};
         if (action.error.retryAfterSeconds > 0) {
-            headers["retry-after"] = fmt::format("{:.0f}", std::max(1.0, action.error.retryAfterSeconds));
+            headers.push_back({"retry-after", fmt::format("{:.0f}", std::max(1.0, action.error.retryAfterSeconds))});
         }
         request->exchange->respond(httpStatus(action.error.code), headers, body);
     }
--- /dev/null
+++ b/src/libs/edge/decision_loop.cpp
@@ -0,0 +1,103 @@
+#include "edge/decision_loop.h"
+
+#include "kernel/kernel.h"
+#include "net/event_loop.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+namespace crocuslane {
+
+struct decision_loop::private_data {
+    void handlePending()
+    {
+        if (isHandling) {
+            return;
+        }
+        isHandling = true;
+        while (!pending.empty()) {
+            event next = std::move(pending.front());
+            pending.pop_front();
+            host.observe(next);
+            const steady_time begin = time.steadyNow();
+            const action_list actions = decisions.handle(std::move(next));
+            host.observeStep(time.steadyNow() - begin);
+            carryOut(actions);
+        }
+        isHandling = false;
+        host.settle();
+        scheduleDeadline();
+    }
+
+    void carryOut(const action_list &actions)
+    {
+        for (const action &action : actions) {
+            host.carryOut(action);
+        }
+    }
+
+    void scheduleDeadline()
+    {
+        const steady_time wanted = decisions.nextDeadline();
+        if (deadlineTimer && scheduledDeadline == wanted) {
+            return;
+        }
+        if (deadlineTimer) {
+            loop.cancel(*deadlineTimer);
+            deadlineTimer.reset();
+        }
+        scheduledDeadline = wanted;
+        if (wanted == steady_time::max()) {
+            return;
+        }
+        // A deadline that stays in the past must not starve the sockets.
+        constexpr std::chrono::milliseconds shortestWait{1};
+        const duration wait = std::max<duration>(wanted - time.steadyNow(), shortestWait);
+        deadlineTimer = loop.schedule(wait, [this] {
+            deadlineTimer.reset();
+            pending.push_back(timer_expired{});
+            handlePending();
+        });
+    }
+
+    kernel &decisions;
+    decision_host &host;
+    event_loop &loop;
+    const clock &time;
+    std::deque<event> pending = {};
+    bool isHandling = false;
+    std::optional<timer_number> deadlineTimer = {};
+    steady_time scheduledDeadline = {};
+};
+
+decision_loop::decision_loop(kernel &decisions, decision_host &host, event_loop &loop, const clock &clock)
+    : d(new private_data{decisions, host, loop, clock})
+{
+}
+
+decision_loop::~decision_loop()
+{
+    if (d->deadlineTimer) {
+        d->loop.cancel(*d->deadlineTimer);
+    }
+}
+
+void decision_loop::begin(const action_list &firstActions)
+{
+    d->carryOut(firstActions);
+    d->scheduleDeadline();
+}
+
+void decision_loop::deliver(event event)
+{
+    d->pending.push_back(std::move(event));
+    d->handlePending();
+}
+
+void decision_loop::close()
+{
+    d->isHandling = true;
+}
+
+} // namespace crocuslane
--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/forward_types.h"
 #include "kernel/peer_message.h"
 #include "kernel/types.h"
 
@@ -113,6 +114,86 @@
     std::set<version_id> versions;
 };
 
+/// Sends a forwarded request to a runner. The edge adds header and body of @c request.
+struct start_forward {
+    attempt_number attempt = 0;
+    request_id request;
+    runner_id runner;
+    std::string address;
+    /// Empty when the request has no known key.
+    organisation_id organisation;
+    /// Time that the runner may take.
+    duration timeLeft{};
+    /// Model to name in place of the caller's; empty for the caller's own.
+    std::string model;
+    /// 0 is the most urgent; nothing for the runner's default.
+    std::optional<unsigned> priority;
+    /// The runner continues after this event.
+    std::optional<std::uint64_t> resumeAfter;
+    bool isStream = false;
+};
+
+/// Sends a runner's whole answer to the caller.
+struct deliver_answer {
+    request_id request;
+    held_answer_pointer answer;
+};
+
+/// Sends the head of a runner's answer; events follow.
+struct begin_stream {
+    request_id request;
+    held_answer_pointer answer;
+};
+
+struct send_stream_event {
+    request_id request;
+    std::string text;
+};
+
+struct finish_stream {
+    request_id request;
+};
+
+/// Closes the caller's connection so that the answer does not look whole.
+struct abort_stream {
+    request_id request;
+};
+
+/// The router's own answer to a forwarded request.
+enum class refusal_reason {
+    no_configuration,
+    no_route,
+    unknown_key,
+    no_runner,
+    no_capacity,
+    stopping,
+    deadline_not_run,
+    deadline_may_have_run,
+    attempts_exhausted_not_run,
+    attempts_exhausted_may_have_run,
+};
+
+struct refuse_forward {
+    request_id request;
+    refusal_reason reason = refusal_reason::no_runner;
+    /// When the caller may come back; zero for no advice.
+    duration retryAfter{};
+};
+
+/// Asks the platform to record a state of a roll-out, unless its log has grown beyond @c expectedEnd.
+struct record_rollout {
+    rollout_record record;
+    log_offset expectedEnd = 0;
+};
+
+/// One line of the log on a decision.
+struct log_decision {
+    std::string_view event;
+    request_id request;
+    /// Inputs and outcome.
+    std::vector<std::pair<std::string_view, std::string>> fields;
+};
+
 /// All work is done and handed over; the process may exit.
 struct stop_process {
 };
@@ -132,8 +213,19 @@
                             send_to_peer,
                             watch_runners,
                             order_runner,
+                            start_forward,
+                            deliver_answer,
+                            begin_stream,
+                            send_stream_event,
+                            finish_stream,
+                            abort_stream,
+                            refuse_forward,
+                            record_rollout,
+                            log_decision,
                             stop_process>;
 
+std::string_view toName(refusal_reason reason);
+
 using action_list = std::vector<action>;
 
 } // namespace crocuslane
--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/forward_types.h"
 #include "kernel/peer_message.h"
 #include "kernel/types.h"
 
@@ -131,6 +132,64 @@
 struct stop_requested {
 };
 
+// Requests that are passed on unchanged.
+
+struct forward_received {
+    forward_request request;
+};
+
+struct forward_head_received {
+    attempt_number attempt = 0;
+    forward_answer_head head;
+    held_answer_pointer answer;
+};
+
+/// One whole event of a stream.
+struct forward_event_received {
+    attempt_number attempt = 0;
+    /// Nothing when the event has no number.
+    std::optional<std::uint64_t> number;
+    std::string text;
+};
+
+/// The answer is whole.
+struct forward_completed {
+    attempt_number attempt = 0;
+    held_answer_pointer answer;
+};
+
+struct forward_failed {
+    attempt_number attempt = 0;
+    /// not_sent or connection_lost.
+    attempt_failure failure = attempt_failure::connection_lost;
+};
+
+struct forward_configuration_read {
+    std::shared_ptr<const forward_configuration> configuration;
+};
+
+/// All runners that the platform lists.
+struct backend_list_read {
+    std::vector<backend_entry> entries;
+    /// The list was disturbed lately, so that entries may be missing from it though their runners live.
+    bool mayLackEntries = false;
+};
+
+struct rollout_ordered {
+    rollout_order order;
+};
+
+/// Recorded states of roll-outs, newest of each service; @c end is the position behind the last record.
+struct rollout_records_read {
+    std::vector<rollout_record> records;
+    log_offset end = 0;
+};
+
+/// Another record was written first, or the store did not take it.
+struct rollout_record_refused {
+    rollout_record record;
+};
+
 // Posted by plug-ins.
 
 struct configuration_changed {
@@ -202,6 +261,16 @@
                            publication_requested,
                            order_answered,
                            stop_requested,
+                           forward_received,
+                           forward_head_received,
+                           forward_event_received,
+                           forward_completed,
+                           forward_failed,
+                           forward_configuration_read,
+                           backend_list_read,
+                           rollout_ordered,
+                           rollout_records_read,
+                           rollout_record_refused,
                            configuration_changed,
                            freshness_changed,
                            claim_decided,
--- a/src/libs/kernel/kernel.cpp
+++ b/src/libs/kernel/kernel.cpp
@@ -33,6 +33,24 @@
     }
 }
 
+void kernel::addRegistered(const std::vector<std::string_view> &names)
+{
+    for (const std::string_view name : names) {
+        const bool isPresent = std::any_of(
+            m_plugins.begin(), m_plugins.end(), [name](const auto &present) { return present->name() == name; });
+        if (isPresent) {
+            continue;
+        }
+        std::unique_ptr<plugin> made = makePlugin(name);
+        if (!made) {
+            throw std::logic_error("no plug-in " + std::string(name));
+        }
+        const std::vector<std::string_view> needed = made->dependencies();
+        add(std::move(made));
+        addRegistered(needed);
+    }
+}
+
 void kernel::orderPlugins()
 {
     std::vector<std::unique_ptr<plugin>> ordered;
--- a/src/libs/kernel/kernel.h
+++ b/src/libs/kernel/kernel.h
@@ -28,6 +28,8 @@
     /// Before start() only. A test or measurement may add its own plug-ins or leave some out.
     void add(std::unique_ptr<plugin> plugin);
     void addAllRegistered();
+    /// Adds the named plug-ins and those that they depend on.
+    void addRegistered(const std::vector<std::string_view> &names);
 
     /// Orders the plug-ins by their dependencies and starts them. Throws std::logic_error for a missing or circular
     /// dependency, which is a fault of the program.
--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -4,25 +4,54 @@
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
+#include <stdexcept>
+#include <vector>
 
 namespace crocuslane {
 
 namespace {
 
 constexpr std::size_t maximumHandles = 16384;
+constexpr std::size_t fewestHandles = 1024;
+
+/// ACE refuses to open a reactor for more descriptors than the process may have.
+std::size_t handleLimit()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return fewestHandles;
+    }
+    return std::min<std::size_t>(limit.rlim_cur, maximumHandles);
+}
 
 class signal_reader : public ACE_Event_Handler
 {
 public:
-    signal_reader(int descriptor, std::function<void()> callback)
-        : m_descriptor(descriptor)
+    signal_reader(ACE_Reactor &reactor, const std::vector<int> &numbers, std::function<void()> callback)
+        : m_reactor(reactor)
         , m_callback(std::move(callback))
     {
+        sigset_t signals;
+        sigemptyset(&signals);
+        for (const int number : numbers) {
+            sigaddset(&signals, number);
+        }
+        sigprocmask(SIG_BLOCK, &signals, nullptr);
+        m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+        m_reactor.register_handler(this, READ_MASK);
+    }
+
+    ~signal_reader() override
+    {
+        m_reactor.remove_handler(this, READ_MASK | DONT_CALL);
+        ::close(m_descriptor);
     }
 
     ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): name given by ACE
@@ -40,7 +69,8 @@
     }
 
 private:
-    int m_descriptor;
+    ACE_Reactor &m_reactor;
+    int m_descriptor = -1;
     std::function<void()> m_callback;
 };
 
@@ -62,8 +92,8 @@
     }
 
     std::unique_ptr<ACE_Reactor> reactor;
-    std::unique_ptr<signal_reader> signals;
-    int signalDescriptor = -1;
+    std::unique_ptr<signal_reader> stopSignals;
+    std::unique_ptr<signal_reader> reloadSignals;
     timer_number lastTimer = 0;
     std::map<timer_number, std::function<void()>> callbacks;
     std::map<timer_number, long> aceTimers;
@@ -76,15 +106,17 @@
     // A write to a connection that the other end has closed must fail with EPIPE; the signal's default ends the
     // process. libmicrohttpd leaves this to the program.
     std::signal(SIGPIPE, SIG_IGN);
-    d->reactor = std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor(maximumHandles), true);
+    auto implementation = std::make_unique<ACE_Dev_Poll_Reactor>(handleLimit());
+    if (!implementation->initialized()) {
+        throw std::runtime_error("the reactor cannot be opened");
+    }
+    d->reactor = std::make_unique<ACE_Reactor>(implementation.release(), true);
 }
 
 event_loop::~event_loop()
 {
-    if (d->signals) {
-        d->reactor->remove_handler(d->signals.get(), ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
-        ::close(d->signalDescriptor);
-    }
+    d->stopSignals.reset();
+    d->reloadSignals.reset();
     d->reactor->cancel_timer(d.get());
 }
 
@@ -127,14 +159,13 @@
 
 void event_loop::setStopSignalHandler(std::function<void()> callback)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
-    d->signalDescriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    d->signals = std::make_unique<signal_reader>(d->signalDescriptor, std::move(callback));
-    d->reactor->register_handler(d->signals.get(), ACE_Event_Handler::READ_MASK);
+    d->stopSignals =
+        std::make_unique<signal_reader>(*d->reactor, std::vector<int>{SIGTERM, SIGINT}, std::move(callback));
+}
+
+void event_loop::setReloadSignalHandler(std::function<void()> callback)
+{
+    d->reloadSignals = std::make_unique<signal_reader>(*d->reactor, std::vector<int>{SIGHUP}, std::move(callback));
 }
 
 ACE_Reactor &event_loop::reactor()
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -30,6 +30,8 @@
     void cancel(timer_number timer);
     /// Calls @p callback for each SIGTERM and SIGINT, from the loop and not from a signal handler.
     void setStopSignalHandler(std::function<void()> callback);
+    /// Calls @p callback for each SIGHUP, from the loop.
+    void setReloadSignalHandler(std::function<void()> callback);
 
     ACE_Reactor &reactor();
 
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/event_loop.h"
+#include "net/silence_detection.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
@@ -8,6 +9,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <cctype>
 #include <map>
 #include <optional>
 #include <utility>
@@ -17,8 +20,34 @@
 
 namespace {
 
-// An idle connection may have been forgotten by something between the two ends; an old one isn't used again.
-constexpr long idleConnectionSeconds = 10;
+constexpr long keptConnections = 256;
+constexpr std::string_view statusLinePrefix = "HTTP/";
+constexpr std::uint32_t firstFinalStatus = 200;
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) {
+        return std::tolower(a) == std::tolower(b);
+    });
+}
+
+curl_slist *appendExactFields(curl_slist *list, const header_list &fields)
+{
+    for (const std::string_view own : {"Accept", "Content-Type"}) {
+        const bool isGiven = std::any_of(fields.begin(), fields.end(), [own](const header_field &field) {
+            return equalsIgnoringCase(field.name, own);
+        });
+        if (!isGiven) {
+            list = curl_slist_append(list, (std::string(own) + ":").c_str());
+        }
+    }
+    for (const header_field &field : fields) {
+        // A field without a value is written with a semicolon in libcurl's lists.
+        const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
+        list = curl_slist_append(list, line.c_str());
+    }
+    return list;
+}
 
 long toMilliseconds(duration value)
 {
@@ -34,6 +63,10 @@
         CURL *handle = nullptr;
         curl_slist *headers = nullptr;
         bool hasStatus = false;
+        http_response_head head;
+        bool isHeadComplete = false;
+        /// The request is being written to a connection, or was.
+        bool isSending = false;
         /// Cancelled from inside a callback; released after it.
         bool isCancelled = false;
         steady_time lastProgress;
@@ -118,11 +151,10 @@
         const auto number = reinterpret_cast<transfer *>(pointer)->number;
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-        curl_off_t pretransferTime = 0;
-        curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T, &pretransferTime);
         transfer_result result = transfer_result::complete;
         if (code != CURLE_OK) {
-            result = pretransferTime > 0 ? transfer_result::lost : transfer_result::not_connected;
+            const bool wasSending = reinterpret_cast<transfer *>(pointer)->isSending;
+            result = wasSending ? transfer_result::lost : transfer_result::not_connected;
         }
         finish(number, result, code == CURLE_OK || status > 0 ? static_cast<std::uint32_t>(status) : 0);
     }
@@ -256,6 +288,79 @@
         return 0;
     }
 
+    /// libcurl sends a request once more by itself when a reused connection ends without an answer; the request may
+    /// have run by then.
+    static int beforeRequest(void *pointer, char * /*ip*/, char * /*localIp*/, int /*port*/, int /*localPort*/)
+    {
+        auto &current = *static_cast<transfer *>(pointer);
+        if (current.isSending) {
+            return CURL_PREREQFUNC_ABORT;
+        }
+        current.isSending = true;
+        return CURL_PREREQFUNC_OK;
+    }
+
+    static int socketOptions(void * /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+    {
+        setSilenceDetection(socket);
+        return CURL_SOCKOPT_OK;
+    }
+
+    static std::size_t headerCallback(char *data, std::size_t size, std::size_t count, void *pointer)
+    {
+        auto &current = *static_cast<transfer *>(pointer);
+        const std::size_t bytes = size * count;
+        if (current.isCancelled || current.isHeadComplete) {
+            return bytes;
+        }
+        current.owner->readHeaderLine(current, {data, bytes});
+        return bytes;
+    }
+
+    void readHeaderLine(transfer &current, std::string_view line)
+    {
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with(statusLinePrefix)) {
+            long status = 0;
+            curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
+            current.head = {static_cast<std::uint32_t>(status), {}};
+            return;
+        }
+        if (line.empty()) {
+            endHead(current);
+            return;
+        }
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos) {
+            return;
+        }
+        std::string_view value = line.substr(colon + 1);
+        while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+            value.remove_prefix(1);
+        }
+        while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
+            value.remove_suffix(1);
+        }
+        current.head.fields.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+
+    void endHead(transfer &current)
+    {
+        // An interim answer (1xx) is followed by another head.
+        if (current.head.status < firstFinalStatus) {
+            return;
+        }
+        current.isHeadComplete = true;
+        current.lastProgress = std::chrono::steady_clock::now();
+        if (current.request.onHead) {
+            isInCallback = true;
+            current.request.onHead(current.head);
+            isInCallback = false;
+        }
+    }
+
     static std::size_t writeCallback(char *data, std::size_t size, std::size_t count, void *pointer)
     {
         auto &current = *static_cast<transfer *>(pointer);
@@ -294,6 +399,16 @@
     std::optional<timer_number> multiTimer;
 };
 
+const std::string *http_response_head::find(std::string_view name) const
+{
+    for (const header_field &field : fields) {
+        if (equalsIgnoringCase(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
 http_client::http_client(event_loop &loop)
     : d(std::make_unique<private_data>(loop))
 {
@@ -303,6 +418,7 @@
     curl_multi_setopt(d->multi, CURLMOPT_SOCKETDATA, d.get());
     curl_multi_setopt(d->multi, CURLMOPT_TIMERFUNCTION, &private_data::timerCallback);
     curl_multi_setopt(d->multi, CURLMOPT_TIMERDATA, d.get());
+    curl_multi_setopt(d->multi, CURLMOPT_MAXCONNECTS, keptConnections);
 }
 
 http_client::~http_client()
@@ -327,7 +443,9 @@
 
     CURL *handle = transfer.handle;
     const http_client_request &content = transfer.request;
-    curl_easy_setopt(handle, CURLOPT_URL, ("http://" + content.address + content.target).c_str());
+    curl_easy_setopt(handle, CURLOPT_URL, ("http://" + content.address + "/").c_str());
+    // As given, without libcurl's clean-up of dots and spaces.
+    curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, content.target.c_str());
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &private_data::writeCallback);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
@@ -336,21 +454,40 @@
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
+    if (content.idleLimit.count() > 0) {
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(content.idleLimit.count()));
+    } else {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &private_data::beforeRequest);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &private_data::socketOptions);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &private_data::headerCallback);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(content.connectTimeout));
     if (content.timeout > duration::zero()) {
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, toMilliseconds(content.timeout));
     }
-    if (content.method == "POST") {
+    if (content.method == "POST" || !content.body.empty()) {
         curl_easy_setopt(handle, CURLOPT_POST, 1L);
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(content.body.size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, content.body.data());
         // Waiting for "100 Continue" would add a round trip to every large request.
         transfer.headers = curl_slist_append(transfer.headers, "Expect:");
     }
+    if (content.method == "HEAD") {
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    } else if (content.method != "GET" && content.method != "POST") {
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, content.method.c_str());
+    } else if (content.method == "GET" && !content.body.empty()) {
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "GET");
+    }
     for (const std::string &header : content.headers) {
         transfer.headers = curl_slist_append(transfer.headers, header.c_str());
     }
+    if (content.exactFields) {
+        transfer.headers = appendExactFields(transfer.headers, *content.exactFields);
+    }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
 
     const transfer_number number = transfer.number;
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
+#include "net/header_field.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crocuslane {
@@ -22,6 +25,15 @@
     lost,
 };
 
+/// Status line and header of an answer.
+struct http_response_head {
+    std::uint32_t status = 0;
+    header_list fields;
+
+    /// Value of the first field of this name in any case; null when there is none.
+    const std::string *find(std::string_view name) const;
+};
+
 struct http_client_request {
     std::string method = "GET";
     /// "ip:port"
@@ -29,7 +41,11 @@
     /// Path with query.
     std::string target;
     std::vector<std::string> headers;
+    /// Sent as they are after @c headers, without the fields that the library would add by itself.
+    std::optional<header_list> exactFields;
     std::string body;
+    /// An idle connection that is older is not used again.
+    std::chrono::seconds idleLimit{10};
     duration connectTimeout = std::chrono::seconds(1);
     /// Limit of the whole transfer; zero for none.
     duration timeout{};
@@ -37,6 +53,8 @@
     duration silenceLimit{};
 
     /// Status line and headers were read.
+    std::function<void(const http_response_head &head)> onHead;
+    /// Before the first data.
     std::function<void(std::uint32_t status)> onStatus;
     std::function<void(std::string_view data)> onData;
     /// Last call; @p status is 0 without an answer.
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "net/event_loop.h"
+#include "net/silence_detection.h"
 #include "net/socket_address.h"
 
 #include <ace/Event_Handler.h>
@@ -11,10 +12,14 @@
 #include <openssl/pem.h>
 #include <openssl/x509.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cstring>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <set>
 #include <vector>
@@ -27,7 +32,6 @@
 namespace {
 
 constexpr std::size_t streamBlockSize = 16384;
-constexpr unsigned idleConnectionTimeoutSeconds = 0;
 // libmicrohttpd may ask to be run again at once; the limit lets other handlers of the loop have their turn.
 constexpr int runsPerTurn = 16;
 // GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
@@ -44,7 +48,9 @@
 
 MHD_Result collectHeader(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
 {
-    (*static_cast<http_headers *>(target))[lowerCase(name)] = value ? value : "";
+    auto &request = *static_cast<http_request *>(target);
+    request.fields.push_back({name, value ? value : ""});
+    request.headers[lowerCase(name)] = request.fields.back().value;
     return MHD_YES;
 }
 
@@ -62,6 +68,58 @@
     closed,
 };
 
+/// libmicrohttpd doesn't look at a suspended connection, so that it misses the end of it.
+class close_watcher : public ACE_Event_Handler
+{
+public:
+    close_watcher(ACE_Reactor &reactor, int socket, std::function<void()> onClosed)
+        : m_reactor(reactor)
+        , m_socket(socket)
+        , m_onClosed(std::move(onClosed))
+    {
+        m_isRegistered = m_reactor.register_handler(this, READ_MASK) == 0;
+    }
+
+    ~close_watcher() override
+    {
+        stop();
+    }
+
+    ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): name given by ACE
+    {
+        return m_socket;
+    }
+
+    int handle_input(ACE_HANDLE /*handle*/) override
+    {
+        char next = 0;
+        const ssize_t size = ::recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return 0;
+        }
+        // Bytes of a next request keep the descriptor readable, and the end behind them can't be seen.
+        stop();
+        if (size <= 0) {
+            m_onClosed();
+        }
+        return 0;
+    }
+
+    void stop()
+    {
+        if (m_isRegistered) {
+            m_isRegistered = false;
+            m_reactor.remove_handler(this, READ_MASK | DONT_CALL);
+        }
+    }
+
+private:
+    ACE_Reactor &m_reactor;
+    int m_socket;
+    std::function<void()> m_onClosed;
+    bool m_isRegistered = false;
+};
+
 class connection_exchange : public http_exchange
 {
 public:
@@ -70,31 +128,36 @@
     {
     }
 
+    MHD_Connection *connection() const
+    {
+        return m_connection;
+    }
+
     const http_request &request() const override
     {
         return content;
     }
 
-    void respond(std::uint32_t status, const http_headers &headers, std::string body) override
+    void respond(std::uint32_t status, header_list headers, std::string body) override
     {
         if (phase != answer_phase::waiting) {
             return;
         }
         this->status = status;
-        this->headers = headers;
+        this->headers = std::move(headers);
         pending = std::move(body);
         isFinished = true;
         phase = answer_phase::whole;
         resume();
     }
 
-    void begin(std::uint32_t status, const http_headers &headers) override
+    void begin(std::uint32_t status, header_list headers) override
     {
         if (phase != answer_phase::waiting) {
             return;
         }
         this->status = status;
-        this->headers = headers;
+        this->headers = std::move(headers);
         phase = answer_phase::streaming;
         resume();
     }
@@ -117,6 +180,15 @@
         resume();
     }
 
+    void abort() override
+    {
+        if (phase == answer_phase::closed) {
+            return;
+        }
+        isAborted = true;
+        resume();
+    }
+
     void suspend()
     {
         isSuspended = true;
@@ -142,8 +214,8 @@
             response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockSize, &readStream, this, nullptr);
         }
         phase = answer_phase::queued;
-        for (const auto &[name, value] : headers) {
-            MHD_add_response_header(response, name.c_str(), value.c_str());
+        for (const header_field &field : headers) {
+            MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
         }
         const MHD_Result result = MHD_queue_response(m_connection, status, response);
         MHD_destroy_response(response);
@@ -153,12 +225,16 @@
     http_request content;
     answer_phase phase = answer_phase::waiting;
     std::uint32_t status = 200;
-    http_headers headers;
+    header_list headers;
     std::string pending;
+    bool isStarted = false;
     bool isFinished = false;
     bool isDelivered = false;
     bool isSuspended = false;
+    bool isAborted = false;
     bool *needsRun = nullptr;
+    /// Watches for the end of the connection while the answer is being made.
+    std::unique_ptr<close_watcher> watcher;
 
 private:
     static ssize_t readStream(void *self, std::uint64_t /*position*/, char *buffer, std::size_t size)
@@ -170,6 +246,9 @@
             exchange.pending.erase(0, taken);
             return static_cast<ssize_t>(taken);
         }
+        if (exchange.isAborted) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
         if (exchange.isFinished) {
             return MHD_CONTENT_READER_END_OF_STREAM;
         }
@@ -304,12 +383,8 @@
             }
         }
         isRunning = false;
-        if (needsRun && !isRunScheduled) {
-            isRunScheduled = true;
-            loop.schedule(duration::zero(), [this] {
-                isRunScheduled = false;
-                runDaemon();
-            });
+        if (needsRun) {
+            flushLater();
         }
     }
 
@@ -321,19 +396,15 @@
                       void **state)
     {
         auto *holder = static_cast<std::shared_ptr<connection_exchange> *>(*state);
-        if (!holder) {
-            holder = new std::shared_ptr<connection_exchange>(std::make_shared<connection_exchange>(connection));
-            *state = holder;
-            connection_exchange &exchange = **holder;
-            exchange.needsRun = &needsRun;
-            open.insert(holder->get());
+        connection_exchange &exchange = **holder;
+        if (!exchange.isStarted) {
+            exchange.isStarted = true;
             exchange.content.method = method;
             exchange.content.path = url;
-            MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.content.headers);
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.content);
             MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &exchange.content.query);
             return MHD_YES;
         }
-        connection_exchange &exchange = **holder;
         if (*dataSize > 0) {
             if (exchange.content.body.size() + *dataSize > limits.bodyBytes) {
                 exchange.content.isOversized = true;
@@ -346,8 +417,12 @@
         }
         if (!exchange.isDelivered) {
             exchange.isDelivered = true;
+            watch(*holder);
             handler.handleRequest(*holder);
         }
+        if (exchange.isAborted) {
+            return MHD_NO;
+        }
         if (exchange.phase == answer_phase::waiting) {
             exchange.suspend();
             return MHD_YES;
@@ -355,6 +430,40 @@
         return exchange.queueAnswer();
     }
 
+    void *beginRequest(MHD_Connection *connection, const char *target)
+    {
+        auto *holder = new std::shared_ptr<connection_exchange>(std::make_shared<connection_exchange>(connection));
+        (*holder)->needsRun = &needsRun;
+        (*holder)->content.target = target;
+        open.insert(holder->get());
+        return holder;
+    }
+
+    void watch(const std::shared_ptr<connection_exchange> &exchange)
+    {
+        const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(exchange->connection(), MHD_CONNECTION_INFO_CONNECTION_FD);
+        exchange->watcher = std::make_unique<close_watcher>(
+            loop.reactor(), info->connect_fd, [this, weak = std::weak_ptr(exchange)] {
+                if (const std::shared_ptr<connection_exchange> closed = weak.lock()) {
+                    closed->abort();
+                    flushLater();
+                }
+            });
+    }
+
+    void flushLater()
+    {
+        if (isRunScheduled) {
+            return;
+        }
+        isRunScheduled = true;
+        loop.schedule(duration::zero(), [this] {
+            isRunScheduled = false;
+            runDaemon();
+        });
+    }
+
     void completed(void **state, MHD_RequestTerminationCode code)
     {
         auto *holder = static_cast<std::shared_ptr<connection_exchange> *>(*state);
@@ -364,6 +473,10 @@
         const std::shared_ptr<connection_exchange> exchange = *holder;
         exchange->phase = answer_phase::closed;
         exchange->isSuspended = false;
+        // Before libmicrohttpd closes the socket or reads the next request from it.
+        if (exchange->watcher) {
+            exchange->watcher->stop();
+        }
         open.erase(exchange.get());
         delete holder;
         *state = nullptr;
@@ -390,6 +503,19 @@
         static_cast<private_data *>(self)->completed(state, code);
     }
 
+    static void *targetCallback(void *self, const char *target, MHD_Connection *connection)
+    {
+        return static_cast<private_data *>(self)->beginRequest(connection, target);
+    }
+
+    static void
+    connectionCallback(void * /*self*/, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            setSilenceDetection(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+        }
+    }
+
     event_loop &loop;
     http_handler &handler;
     http_server_limits limits;
@@ -443,8 +569,16 @@
                                  MHD_OPTION_NOTIFY_COMPLETED,
                                  &private_data::completedCallback,
                                  d.get(),
+                                 MHD_OPTION_URI_LOG_CALLBACK,
+                                 &private_data::targetCallback,
+                                 d.get(),
+                                 MHD_OPTION_NOTIFY_CONNECTION,
+                                 &private_data::connectionCallback,
+                                 nullptr,
+                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                 d->limits.headerBytes,
                                  MHD_OPTION_CONNECTION_TIMEOUT,
-                                 idleConnectionTimeoutSeconds,
+                                 static_cast<unsigned>(d->limits.idleTimeout.count()),
                                  MHD_OPTION_CONNECTION_LIMIT,
                                  static_cast<unsigned>(d->limits.connections),
                                  MHD_OPTION_ARRAY,
@@ -469,6 +603,11 @@
     return !d->open.empty();
 }
 
+void http_server::setBodyLimit(std::size_t bytes)
+{
+    d->limits.bodyBytes = bytes;
+}
+
 void http_server::flush()
 {
     if (d->needsRun) {
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "net/header_field.h"
 #include "net/net_error.h"
 
 #include <boost/leaf/result.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace crocuslane {
 
@@ -17,15 +20,17 @@
     std::string method;
     std::string path;
     std::map<std::string, std::string> query;
-    /// Names in lower case.
+    /// Names in lower case; of a repeated field the last one.
     std::map<std::string, std::string> headers;
     std::string body;
     /// The body was larger than the limit and was dropped.
     bool isOversized = false;
+    /// Path and query as the client wrote them.
+    std::string target = {};
+    /// All fields in their order, as the client wrote them.
+    header_list fields = {};
 };
 
-using http_headers = std::map<std::string, std::string>;
-
 /// One request and its answer. Calls after the end of the answer or of the connection have no effect.
 class http_exchange
 {
@@ -33,16 +38,22 @@
     virtual ~http_exchange() = default;
     virtual const http_request &request() const = 0;
     /// Sends a whole answer.
-    virtual void respond(std::uint32_t status, const http_headers &headers, std::string body) = 0;
+    virtual void respond(std::uint32_t status, header_list headers, std::string body) = 0;
     /// Starts an answer of unknown length; send() and finish() follow.
-    virtual void begin(std::uint32_t status, const http_headers &headers) = 0;
+    virtual void begin(std::uint32_t status, header_list headers) = 0;
     virtual void send(std::string_view data) = 0;
     virtual void finish() = 0;
+    /// Closes the connection without the rest of the answer, so that it does not look complete.
+    virtual void abort() = 0;
 };
 
 struct http_server_limits {
     std::size_t bodyBytes = 0;
     std::size_t connections = 0;
+    /// A connection without a request in progress is closed after this time; zero for never.
+    std::chrono::seconds idleTimeout{0};
+    /// Header of a request, as one block.
+    std::size_t headerBytes = 32768;
 };
 
 /// PEM files; without both, the server speaks plain HTTP.
@@ -73,6 +84,8 @@
     boost::leaf::result<void> listen(const std::string &address, const tls_files &files = {});
     /// True while a request is being read or its answer is being sent.
     bool isBusy() const;
+    /// Limit of the bodies of requests from now on.
+    void setBodyLimit(std::size_t bytes);
     /// Sends what was written outside of handleRequest(); call it after each step.
     void flush();
 
--- a/src/libs/services/runner_picker.h
+++ b/src/libs/services/runner_picker.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "kernel/peer_message.h"
 #include "kernel/types.h"
+#include "services/runner_use_exchange.h"
 
 #include <set>
 
@@ -35,10 +35,9 @@
 };
 
 /// Choice of a runner. Offered by the plug-in routing.
-class runner_picker
+class runner_picker : public runner_use_exchange
 {
 public:
-    virtual ~runner_picker() = default;
     /// Nothing when no runner has a free slot for this request.
     virtual std::optional<runner_choice> pick(const pick_request &request) = 0;
     /// True when some live runner could ever serve it, free or not.
@@ -57,10 +56,6 @@
     virtual bool spendRetry() = 0;
     /// Time without a token after which an attempt counts as lost. It leaves time for reading a long prompt.
     virtual duration silenceLimit(const runner_id &runner, const work_estimate &work) const = 0;
-    /// Requests of this VM in progress per runner, to be sent to the other entry VMs.
-    virtual std::vector<runner_use> localUse() const = 0;
-    virtual void setRemoteUse(const vm_id &vm, const std::vector<runner_use> &use) = 0;
-    virtual void removeRemote(const vm_id &vm) = 0;
 };
 
 } // namespace crocuslane
--- /dev/null
+++ b/src/libs/services/runner_use_exchange.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "kernel/peer_message.h"
+#include "kernel/types.h"
+
+#include <vector>
+
+namespace crocuslane {
+
+/// Requests in progress per runner, told to and by the other entry VMs. Offered by whichever plug-in chooses runners.
+class runner_use_exchange
+{
+public:
+    virtual ~runner_use_exchange() = default;
+    /// Requests of this VM in progress per runner, to be sent to the other entry VMs.
+    virtual std::vector<runner_use> localUse() const = 0;
+    virtual void setRemoteUse(const vm_id &vm, const std::vector<runner_use> &use) = 0;
+    virtual void removeRemote(const vm_id &vm) = 0;
+};
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/backends/backend_settings.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace crocuslane {
+
+/// Offered by the program to the plug-in backends.
+struct backend_settings {
+    /// Region of each availability zone.
+    std::map<std::string, std::string> regions;
+};
+
+} // namespace crocuslane
--- a/src/plugins/membership/membership_plugin.cpp
+++ b/src/plugins/membership/membership_plugin.cpp
@@ -7,7 +7,7 @@
 #include "services/admission_controller.h"
 #include "services/configuration_source.h"
 #include "services/member_view.h"
-#include "services/runner_picker.h"
+#include "services/runner_use_exchange.h"
 
 #include <nlohmann/json.hpp>
 
@@ -188,7 +188,7 @@
 void membership_plugin::updateMembers()
 {
     auto *admission = m_context->services.tryFind<admission_controller>();
-    auto *picker = m_context->services.tryFind<runner_picker>();
+    auto *picker = m_context->services.tryFind<runner_use_exchange>();
     for (const vm_id &id : m_members->updateGone(now())) {
         const bool isGone = m_members->find(id)->isGone;
         m_context->timeline.record(
@@ -228,7 +228,7 @@
     }
     std::set<runner_id> leaving = m_leavingByList;
     leaving.insert(m_leavingByLoad.begin(), m_leavingByLoad.end());
-    if (const auto *picker = m_context->services.tryFind<runner_picker>()) {
+    if (const auto *picker = m_context->services.tryFind<runner_use_exchange>()) {
         for (runner_use use : picker->localUse()) {
             // Only what this VM heard from the platform: passing on what peers say would keep a mark alive in circles.
             use.isLeaving = leaving.erase(use.runner) > 0;
@@ -382,7 +382,7 @@
     if (auto *admission = m_context->services.tryFind<admission_controller>()) {
         admission->setRemoteDemand(state.id, state.demand);
     }
-    if (auto *picker = m_context->services.tryFind<runner_picker>()) {
+    if (auto *picker = m_context->services.tryFind<runner_use_exchange>()) {
         picker->setRemoteUse(state.id, state.runners);
     }
 }
--- a/src/plugins/requests/tests/fake_services.h
+++ b/src/plugins/requests/tests/fake_services.h
@@ -59,6 +59,7 @@
         context.services.offer<version_chooser>(*this);
         context.services.offer<admission_controller>(*this);
         context.services.offer<runner_picker>(*this);
+        context.services.offer<runner_use_exchange>(*this);
         context.services.offer<claim_registry>(*this);
         context.services.offer<bill_ledger>(*this);
     }
--- /dev/null
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -0,0 +1,201 @@
+#include "kernel/plugin.h"
+#include "plugins/rollouts/rollout.h"
+#include "services/member_view.h"
+#include "services/runner_use_exchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+namespace crocuslane {
+
+namespace {
+
+constexpr std::chrono::milliseconds checkInterval{100};
+
+} // namespace
+
+/// Carries out operators' orders to move a service to another version. Every VM may record a phase; the platform's log
+/// decides which record comes first.
+class rollouts_plugin : public plugin, public rollout_policy
+{
+public:
+    std::string_view name() const override
+    {
+        return "rollouts";
+    }
+
+    void initialize(plugin_context &context) override
+    {
+        m_context = &context;
+        if (const auto *settings = context.services.tryFind<rollout_settings>()) {
+            m_settings = *settings;
+        }
+        context.services.offer<rollout_policy>(*this);
+    }
+
+    void handle(const event &event, action_list &actions) override
+    {
+        if (const auto *ordered = std::get_if<rollout_ordered>(&event)) {
+            take(ordered->order, actions);
+        } else if (const auto *read = std::get_if<rollout_records_read>(&event)) {
+            take(*read, actions);
+        } else if (const auto *refused = std::get_if<rollout_record_refused>(&event)) {
+            const auto found = m_rollouts.find(refused->record.service);
+            if (found != m_rollouts.end()) {
+                found->second.postpone(now());
+            }
+        } else if (const auto *list = std::get_if<backend_list_read>(&event)) {
+            m_entries = list->entries;
+        } else if (std::holds_alternative<timer_expired>(event)) {
+            recordWanted(actions);
+        }
+    }
+
+    steady_time nextDeadline() const override
+    {
+        const bool isActive = std::any_of(m_rollouts.begin(), m_rollouts.end(), [](const auto &each) {
+            return each.second.nextChange() != steady_time::max();
+        });
+        return isActive ? m_nextCheck : steady_time::max();
+    }
+
+    version_rule choose(const service_id &service, const std::string &session) override
+    {
+        const auto found = m_rollouts.find(service);
+        return found == m_rollouts.end() ? version_rule{} : found->second.choose(session, vmCount(), now());
+    }
+
+    version_rule rule(const service_id &service) const override
+    {
+        const auto found = m_rollouts.find(service);
+        return found == m_rollouts.end() ? version_rule{} : found->second.rule();
+    }
+
+    void observe(const version_observation &observation) override
+    {
+        const auto found = m_rollouts.find(observation.service);
+        if (found != m_rollouts.end()) {
+            found->second.observe(observation);
+        }
+    }
+
+    void describe(nlohmann::json &status) const override
+    {
+        for (const auto &[service, each] : m_rollouts) {
+            status[service.value()] = {{"target", each.order().target}, {"phase", std::string(toName(each.phase()))}};
+        }
+    }
+
+private:
+    steady_time now() const
+    {
+        return m_context->time.steadyNow();
+    }
+
+    std::size_t vmCount() const
+    {
+        const auto *members = m_context->services.tryFind<member_view>();
+        return members == nullptr ? 1 : std::max<std::size_t>(members->members().size(), 1);
+    }
+
+    void take(const rollout_order &order, action_list &actions)
+    {
+        const auto found = m_rollouts.find(order.service);
+        if (found != m_rollouts.end() && found->second.order().position >= order.position) {
+            return;
+        }
+        m_rollouts.erase(order.service);
+        rollout &added =
+            m_rollouts.try_emplace(order.service, order, m_settings, m_context->random, now()).first->second;
+        actions.push_back(log_decision{"rollout_ordered",
+                                       {},
+                                       {{"service", order.service.value()},
+                                        {"target", order.target},
+                                        {"position", std::to_string(order.position)}}});
+        const auto record = m_records.find(order.service);
+        if (record != m_records.end() && record->second.order == order.position) {
+            added.applyRecord(record->second.phase, now());
+        }
+    }
+
+    void take(const rollout_records_read &read, action_list &actions)
+    {
+        m_end = read.end;
+        for (const rollout_record &record : read.records) {
+            m_records[record.service] = record;
+            const auto found = m_rollouts.find(record.service);
+            if (found == m_rollouts.end() || found->second.order().position != record.order) {
+                continue;
+            }
+            const rollout_phase before = found->second.phase();
+            found->second.applyRecord(record.phase, now());
+            if (found->second.phase() != before) {
+                actions.push_back(log_decision{"rollout_phase",
+                                               {},
+                                               {{"service", record.service.value()},
+                                                {"target", record.target},
+                                                {"phase", std::string(toName(record.phase))},
+                                                {"was", std::string(toName(before))}}});
+            }
+        }
+    }
+
+    void recordWanted(action_list &actions)
+    {
+        if (now() < m_nextCheck) {
+            return;
+        }
+        m_nextCheck = now() + checkInterval;
+        for (auto &[service, each] : m_rollouts) {
+            const std::optional<rollout_phase> phase = each.wanted(now(), isOldVersionIdle(each.order()));
+            if (!phase) {
+                continue;
+            }
+            each.postpone(now());
+            const rollout_record record{service, each.order().target, each.order().position, *phase};
+            actions.push_back(record_rollout{record, m_end});
+            actions.push_back(log_decision{"rollout_record_sent",
+                                           {},
+                                           {{"service", service.value()},
+                                            {"target", record.target},
+                                            {"phase", std::string(toName(*phase))},
+                                            {"expected_end", std::to_string(m_end)}}});
+        }
+    }
+
+    /// No request of this VM is in progress at a runner of another version than the target.
+    bool isOldVersionIdle(const rollout_order &order) const
+    {
+        const auto *exchange = m_context->services.tryFind<runner_use_exchange>();
+        if (exchange == nullptr) {
+            return true;
+        }
+        const std::vector<runner_use> uses = exchange->localUse();
+        return std::none_of(m_entries.begin(), m_entries.end(), [&](const backend_entry &entry) {
+            return entry.service == order.service && entry.version != order.target
+                && std::any_of(uses.begin(), uses.end(), [&entry](const runner_use &use) {
+                       return use.runner == entry.id && use.inFlight > 0;
+                   });
+        });
+    }
+
+    plugin_context *m_context = nullptr;
+    rollout_settings m_settings;
+    std::map<service_id, rollout> m_rollouts;
+    std::map<service_id, rollout_record> m_records;
+    std::vector<backend_entry> m_entries;
+    log_offset m_end = 0;
+    steady_time m_nextCheck;
+};
+
+namespace {
+
+const plugin_registrar autoRegistrar("rollouts",
+                                     []() -> std::unique_ptr<plugin> { return std::make_unique<rollouts_plugin>(); });
+
+} // namespace
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/rollouts/version_evidence.cpp
@@ -0,0 +1,67 @@
+#include "plugins/rollouts/version_evidence.h"
+
+#include <algorithm>
+
+namespace crocuslane {
+
+namespace {
+
+constexpr unsigned fewestFailures = 3;
+constexpr double failureRatio = 2.5;
+// Failures of a good version by faults of runners and connections stay below this share.
+constexpr double usualFailureShare = 0.1;
+constexpr std::size_t fewestDelays = 6;
+constexpr std::size_t keptDelays = 64;
+constexpr double slowRatio = 2.5;
+constexpr double fixedMilliseconds = 40.0;
+constexpr double promptTokensPerMillisecond = 40.0;
+
+double failureShare(unsigned failures, unsigned answers)
+{
+    return answers == 0 ? 0.0 : static_cast<double>(failures) / answers;
+}
+
+} // namespace
+
+void version_evidence::add(const version_observation &observation, bool isNew)
+{
+    sample &target = isNew ? m_new : m_old;
+    ++target.answers;
+    if (observation.hasFailed) {
+        ++target.failures;
+        return;
+    }
+    const double expected = fixedMilliseconds + observation.promptTokens / promptTokensPerMillisecond;
+    if (target.delays.size() == keptDelays) {
+        target.delays.erase(target.delays.begin());
+    }
+    target.delays.push_back(toSeconds(observation.delay) * 1000.0 / expected);
+}
+
+bool version_evidence::isBad() const
+{
+    return failsMore() || isSlower();
+}
+
+bool version_evidence::failsMore() const
+{
+    const double usual = std::max(usualFailureShare, failureRatio * failureShare(m_old.failures, m_old.answers));
+    return m_new.failures >= fewestFailures && failureShare(m_new.failures, m_new.answers) > usual;
+}
+
+bool version_evidence::isSlower() const
+{
+    if (m_new.delays.size() < fewestDelays || m_old.delays.size() < fewestDelays) {
+        return false;
+    }
+    return median(m_new.delays) > slowRatio * median(m_old.delays);
+}
+
+double version_evidence::median(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/routes/routes_plugin.cpp
@@ -0,0 +1,96 @@
+#include "kernel/plugin.h"
+#include "plugins/routes/route_table.h"
+#include "services/configuration_source.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace crocuslane {
+
+/// Takes over the operators' configuration for forwarded requests and never goes back to an older version.
+class routes_plugin : public plugin, public route_source, public configuration_source
+{
+public:
+    std::string_view name() const override
+    {
+        return "routes";
+    }
+
+    void initialize(plugin_context &context) override
+    {
+        context.services.offer<route_source>(*this);
+        context.services.offer<configuration_source>(*this);
+    }
+
+    void handle(const event &event, action_list &actions) override
+    {
+        if (const auto *read = std::get_if<forward_configuration_read>(&event)) {
+            take(read->configuration, actions);
+        }
+    }
+
+    std::variant<route_match, refusal_reason>
+    match(const std::string &host, const std::string &path, const std::string &callerKey) const override
+    {
+        if (!m_table) {
+            return refusal_reason::no_configuration;
+        }
+        return m_table->match(host, path, callerKey);
+    }
+
+    std::shared_ptr<const forward_configuration> configuration() const override
+    {
+        return m_table ? m_table->configuration() : nullptr;
+    }
+
+    /// The operators' text of the product's own interface; not used together with forwarded requests.
+    std::shared_ptr<const crocuslane::configuration> current() const override
+    {
+        return nullptr;
+    }
+
+    /// Every VM reads the configuration for itself, so that there is none to fetch from another VM.
+    std::uint64_t version() const override
+    {
+        return 0;
+    }
+
+    bool mayTakeRequests() const override
+    {
+        return m_table.has_value();
+    }
+
+    void describe(nlohmann::json &status) const override
+    {
+        status["version"] = m_table ? m_table->configuration()->version : 0;
+        status["routes"] = m_table ? m_table->configuration()->routes.size() : 0;
+    }
+
+private:
+    void take(const std::shared_ptr<const forward_configuration> &read, action_list &actions)
+    {
+        const std::uint64_t current = m_table ? m_table->configuration()->version : 0;
+        const bool isNewer = !m_table || read->version > current;
+        if (isNewer) {
+            m_table.emplace(read);
+        }
+        actions.push_back(log_decision{isNewer ? "configuration_accepted" : "configuration_ignored",
+                                       {},
+                                       {{"version", std::to_string(read->version)},
+                                        {"in_force", std::to_string(isNewer ? read->version : current)},
+                                        {"routes", std::to_string(read->routes.size())}}});
+    }
+
+    std::optional<route_table> m_table;
+};
+
+namespace {
+
+const plugin_registrar autoRegistrar("routes",
+                                     []() -> std::unique_ptr<plugin> { return std::make_unique<routes_plugin>(); });
+
+} // namespace
+
+} // namespace crocuslane
--- a/src/plugins/routing/routing_plugin.cpp
+++ b/src/plugins/routing/routing_plugin.cpp
@@ -67,6 +67,7 @@
         m_selector = std::make_unique<runner_selector>(*m_table, m_prefixes, context.random);
         m_spillFilledAt = now();
         context.services.offer<runner_picker>(*this);
+        context.services.offer<runner_use_exchange>(*this);
     }
 
     void start(action_list & /*actions*/) override
