Start generations with the smallest model and escalate weak answers

Cause: every generation ran on the largest model of its route; nine runners can read the prompts of about 60 requests/s with it only at three quarters of their capacity, so that first events came after 1.5 s and attempts were repeated. The answer's confidence arrives with its head; below 50 the attempt is ended and asked of the largest model.

--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -30,7 +30,10 @@
     version_rule versions;
     /// Null for a plain service.
     const engine_description *engine = nullptr;
+    /// Parts of the prompt; null for a plain service.
     const std::vector<prompt_part> *prompt = nullptr;
+    /// Model that will run it; a runner keeps what it read for each model apart.
+    std::string model;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
     /// Runners that are not to be tried again.
--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -10,7 +10,6 @@
 
 // Share of an engine's memory that requests in progress may fill; beyond it the engine preempts running requests.
 constexpr double usableMemory = 0.9;
-constexpr double promptTokensPerMillisecond = 40.0;
 // Each running request lengthens a step of the engine.
 constexpr double millisecondsPerRunning = 2.0;
 constexpr double serviceMilliseconds = 60.0;
@@ -25,6 +24,12 @@
 // Runners whose costs differ by less are equal, and chance keeps the VMs from choosing alike.
 constexpr double nearBestMilliseconds = 6.0;
 
+double toMilliseconds(duration value)
+{
+    constexpr double perSecond = 1000.0;
+    return toSeconds(value) * perSecond;
+}
+
 std::uint64_t affinity(const prompt_part &part, const runner_id &runner)
 {
     return XXH3_64bits_withSeed(runner.value().data(), runner.value().size(), part.id);
@@ -38,9 +43,10 @@
 
 } // namespace
 
-backend_selector::backend_selector(vm_place place, random_source &random)
+backend_selector::backend_selector(vm_place place, random_source &random, const reading_speed &speed)
     : m_place(std::move(place))
     , m_random(random)
+    , m_speed(speed)
 {
 }
 
@@ -86,7 +92,7 @@
         const auto preferred = std::max_element(possible.begin(), possible.end(), [part](const scored &a, const scored &b) {
             return affinity(*part, a.state->entry.id) < affinity(*part, b.state->entry.id);
         });
-        preferred->cost -= sharedChoiceGain * part->tokens / promptTokensPerMillisecond;
+        preferred->cost -= sharedChoiceGain * toMilliseconds(m_speed.timeFor(need.model, part->tokens));
     }
     const double best =
         std::min_element(possible.begin(), possible.end(), [](const scored &a, const scored &b) { return a.cost < b.cost; })
@@ -102,8 +108,7 @@
     if (need.engine != nullptr) {
         const std::uint32_t cached = need.prompt == nullptr ? 0 : state.prompts.cachedTokens(*need.prompt, now);
         const std::uint32_t missing = need.promptTokens - std::min(need.promptTokens, cached);
-        wait = (static_cast<double>(state.unreadTokens) + missing) / promptTokensPerMillisecond
-            + running * millisecondsPerRunning;
+        wait = toMilliseconds(state.unreadTime + m_speed.timeFor(need.model, missing)) + running * millisecondsPerRunning;
     } else {
         const double slots = std::max(1U, state.entry.slots);
         wait = serviceMilliseconds * (1.0 + running / slots);
--- a/src/plugins/backends/backend_selector.h
+++ b/src/plugins/backends/backend_selector.h
@@ -2,6 +2,7 @@
 
 #include "base/random_source.h"
 #include "plugins/backends/backend_table.h"
+#include "plugins/backends/reading_speed.h"
 
 #include <string>
 
@@ -19,7 +20,7 @@
 class backend_selector
 {
 public:
-    backend_selector(vm_place place, random_source &random);
+    backend_selector(vm_place place, random_source &random, const reading_speed &speed);
 
     struct scored {
         backend_record *state = nullptr;
@@ -39,6 +40,7 @@
 
     vm_place m_place;
     random_source &m_random;
+    const reading_speed &m_speed;
 };
 
 } // namespace crocuslane
--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -151,20 +151,21 @@
     if (backend_record *state = find(load.runner)) {
         ++state->running;
         state->memoryTokens += load.memoryTokens;
-        state->unreadTokens += load.unreadTokens;
+        state->unreadTime += load.unreadTime;
     }
 }
 
-void backend_table::firstEvent(attempt_number attempt)
+const attempt_load *backend_table::firstEvent(attempt_number attempt)
 {
     const auto found = m_attempts.find(attempt);
     if (found == m_attempts.end() || found->second.hasFirstEvent) {
-        return;
+        return nullptr;
     }
     found->second.hasFirstEvent = true;
     if (backend_record *state = find(found->second.runner)) {
-        state->unreadTokens -= std::min(state->unreadTokens, found->second.unreadTokens);
+        state->unreadTime -= std::min(state->unreadTime, found->second.unreadTime);
     }
+    return &found->second;
 }
 
 backend_record *backend_table::attemptEnded(attempt_number attempt)
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -16,8 +16,11 @@
     runner_id runner;
     /// Prompt and answer in the runner's memory.
     std::uint64_t memoryTokens = 0;
-    /// Prompt tokens that the runner has to read before the first event.
+    /// Prompt tokens that the runner has to read before the first event, and the time that it should take.
     std::uint64_t unreadTokens = 0;
+    duration unreadTime{};
+    std::string model;
+    steady_time startedAt;
     bool hasFirstEvent = false;
 };
 
@@ -28,7 +31,8 @@
     std::optional<steady_time> vanishesAt;
     unsigned running = 0;
     std::uint64_t memoryTokens = 0;
-    std::uint64_t unreadTokens = 0;
+    /// Time to read the prompts of the requests of this VM that wait for their first event.
+    duration unreadTime{};
     /// Requests of other VMs, by VM.
     std::map<vm_id, unsigned> remote;
     std::optional<stated_load> load;
@@ -59,7 +63,8 @@
     std::size_t size() const;
 
     void attemptStarted(attempt_number attempt, const attempt_load &load);
-    void firstEvent(attempt_number attempt);
+    /// The attempt, null when it had its first event before or has ended.
+    const attempt_load *firstEvent(attempt_number attempt);
     /// The runner of the attempt, null when it is gone.
     backend_record *attemptEnded(attempt_number attempt);
     const std::unordered_map<runner_id, backend_record> &states() const;
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -25,7 +25,7 @@
         if (const auto *settings = context.services.tryFind<backend_settings>()) {
             place.regions = settings->regions;
         }
-        m_selector.emplace(std::move(place), context.random);
+        m_selector.emplace(std::move(place), context.random, m_speed);
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
     }
@@ -75,6 +75,9 @@
         if (state != nullptr && need.engine != nullptr && need.prompt != nullptr) {
             const std::uint32_t cached = state->prompts.cachedTokens(*need.prompt, now());
             load.unreadTokens = need.promptTokens - std::min(need.promptTokens, cached);
+            load.unreadTime = m_speed.timeFor(need.model, load.unreadTokens);
+            load.model = need.model;
+            load.startedAt = now();
             state->prompts.note(*need.prompt, need.engine->memoryTokens, now());
         }
         m_table.attemptStarted(attempt, load);
@@ -82,7 +85,10 @@
 
     void firstEvent(attempt_number attempt) override
     {
-        m_table.firstEvent(attempt);
+        const attempt_load *load = m_table.firstEvent(attempt);
+        if (load != nullptr && load->unreadTokens > 0) {
+            m_speed.note(load->model, load->unreadTokens, now() - load->startedAt);
+        }
     }
 
     void attemptEnded(attempt_number attempt, attempt_end end) override
@@ -142,6 +148,7 @@
 
     plugin_context *m_context = nullptr;
     backend_table m_table;
+    reading_speed m_speed;
     std::optional<backend_selector> m_selector;
 };
 
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -22,6 +22,10 @@
 constexpr std::chrono::milliseconds shortestRetryAfter{300};
 constexpr std::uint64_t retryAfterSpreadMilliseconds = 900;
 constexpr std::uint32_t assumedOutputTokens = 200;
+// An answer whose model is less sure of it is asked again of the largest model.
+constexpr unsigned sufficientConfidence = 50;
+// Part of the objective after which the answer of a larger model would come too late.
+constexpr double escalationPart = 0.5;
 
 std::string milliseconds(duration value)
 {
@@ -71,7 +75,8 @@
     created.deadline = created.arrived + std::min(patience, route.timeout);
     created.service = chooseService(route, request.session);
     created.engine = engineOf(*created.match.configuration, created.service);
-    created.model = chooseModel(created);
+    const bool isModelOpen = request.model.empty() && !route.models.empty();
+    useModel(created, isModelOpen ? route.models.front().value() : std::string());
     created.lastEvent = request.resumeAfter;
     m_budget.noteRequest(created.service, now());
     run &added = m_runs.insert_or_assign(request.request, std::move(created)).first->second;
@@ -110,12 +115,39 @@
     return route.services.empty() ? service_id() : route.services.back().service;
 }
 
-std::string forward_flow::chooseModel(const run &run) const
+void forward_flow::useModel(run &run, std::string model) const
 {
-    if (!run.request.model.empty() || run.route().models.empty()) {
-        return {};
+    run.model = std::move(model);
+    run.prompt = run.request.prompt;
+    const std::uint64_t salt = std::hash<std::string>{}(run.model.empty() ? run.request.model : run.model);
+    for (prompt_part &part : run.prompt) {
+        part.id ^= salt;
     }
-    return run.route().models.back().value();
+}
+
+bool forward_flow::escalate(run &run, action_list &actions)
+{
+    const attempt &current = *run.current;
+    if (run.hasBegun || run.model.empty() || !current.head.confidence || !isSuccess(current.head.status)
+        || *current.head.confidence >= sufficientConfidence) {
+        return false;
+    }
+    const std::string &largest = run.route().models.back().value();
+    const steady_time latest = run.arrived + fromSeconds(escalationPart * toSeconds(run.route().objective));
+    if (run.model == largest || !mayRepeat(run) || now() > latest
+        || !m_budget.take(run.service, vmCount(), now())) {
+        return false;
+    }
+    actions.push_back(log_decision{"answer_escalated",
+                                   run.request.request,
+                                   {{"confidence", std::to_string(*current.head.confidence)},
+                                    {"from", run.model},
+                                    {"to", largest}}});
+    run.tried.erase(current.runner);
+    cancelAttempt(run, attempt_end::cancelled, actions);
+    useModel(run, largest);
+    startOrWait(run, actions);
+    return true;
 }
 
 backend_need forward_flow::needOf(const run &run, const version_rule &rule) const
@@ -124,7 +156,8 @@
     need.service = run.service;
     need.versions = rule;
     need.engine = run.engine;
-    need.prompt = &run.request.prompt;
+    need.prompt = &run.prompt;
+    need.model = run.model.empty() ? run.request.model : run.model;
     need.promptTokens = run.request.promptTokens;
     need.outputTokens = outputTokensOf(run.request);
     need.excluded = &run.tried;
@@ -237,7 +270,9 @@
         repeat(run, actions);
         return;
     }
-    schedule(run);
+    if (!escalate(run, actions)) {
+        schedule(run);
+    }
 }
 
 void forward_flow::receiveEvent(const forward_event_received &received, action_list &actions)
@@ -420,6 +455,8 @@
     if (run.match.route != nullptr) {
         line.fields.emplace_back("route", run.route().name);
         line.fields.emplace_back("service", run.service.value());
+        line.fields.emplace_back("model", run.model);
+        line.fields.emplace_back("confidence", run.current && run.current->head.confidence ? std::to_string(*run.current->head.confidence) : "none");
         line.fields.emplace_back("configuration", std::to_string(run.match.configuration->version));
         std::string runners;
         for (const runner_id &runner : run.tried) {
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -53,7 +53,10 @@
         route_match match;
         service_id service;
         const engine_description *engine = nullptr;
+        /// Chosen by the router; empty when the caller names it.
         std::string model;
+        /// The prompt, with ids that differ between models.
+        std::vector<prompt_part> prompt;
         steady_time arrived;
         steady_time deadline;
         /// When it last had to wait for room.
@@ -77,7 +80,9 @@
     steady_time now() const;
     const engine_description *engineOf(const forward_configuration &configuration, const service_id &service) const;
     service_id chooseService(const forward_route &route, const std::string &session) const;
-    std::string chooseModel(const run &run) const;
+    void useModel(run &run, std::string model) const;
+    /// Drops a weak answer of a small model before the caller has any of it; false when it is kept.
+    bool escalate(run &run, action_list &actions);
     backend_need needOf(const run &run, const version_rule &rule) const;
     bool tryStart(run &run, action_list &actions);
     void startOrWait(run &run, action_list &actions);
