--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -535,15 +535,32 @@
         } else if (!run.current) {
             endWithoutAnswer(
                 run, refusal_reason::no_capacity, refusal_reason::attempts_exhausted_may_have_run, actions);
-        } else if (mayRepeat(run)) {
-            cancelAttempt(run, attempt_end::lost, actions);
-            repeat(run, actions);
         } else {
-            m_deadlines.set(*due, run.deadline);
+            leaveSilentRunner(run, actions);
         }
     }
 }
 
+void forward_flow::leaveSilentRunner(run &run, action_list &actions)
+{
+    // A silent runner may still answer: the attempt ends only when another runner can go on at once.
+    const version_rule rule = m_tools.rollouts == nullptr ? version_rule{} : m_tools.rollouts->rule(run.service);
+    const backend_need need = needOf(run, rule);
+    const std::optional<backend_choice> choice = mayRepeat(run) ? m_tools.backends->pick(need) : std::nullopt;
+    if (!choice || !m_budget.take(run.service, vmCount(), now())) {
+        run.current->lastHeard = now();
+        schedule(run);
+        return;
+    }
+    actions.push_back(log_decision{"silent_runner_left",
+                                   run.request.request,
+                                   {{"runner", run.current->runner.value()},
+                                    {"next", choice->runner.value()},
+                                    {"had_events", run.current->hasEvent ? "true" : "false"}}});
+    cancelAttempt(run, attempt_end::lost, actions);
+    startAttempt(run, need, *choice, actions);
+}
+
 steady_time forward_flow::nextDeadline() const
 {
     return m_deadlines.next();
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -88,6 +88,8 @@
     void startOrWait(run &run, action_list &actions);
     void startAttempt(run &run, const backend_need &need, const backend_choice &choice, action_list &actions);
     void repeat(run &run, action_list &actions);
+    /// Moves a request from a silent runner to another one; leaves it where it is when none can take it now.
+    void leaveSilentRunner(run &run, action_list &actions);
     bool mayRepeat(const run &run) const;
     void endAttempt(run &run, attempt_end end);
     void cancelAttempt(run &run, attempt_end end, action_list &actions);
