--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -14,7 +14,9 @@
 constexpr std::chrono::milliseconds shortestTimeLeft{30};
 // Parts of the objective after which a silent attempt is given up, and a waiting request refused.
 constexpr double silentPart = 0.7;
-constexpr double silentEventPart = 0.8;
+// A stream that has paused for longer than its interval is late already; moving it sooner would only read its prompt
+// once more, while its runner reads a long prompt of another request.
+constexpr double silentEventPart = 1.6;
 constexpr double waitingPart = 0.5;
 constexpr double shortestWaitingPart = 0.2;
 constexpr int silentExpectations = 3;
@@ -255,6 +257,7 @@
     run &run = *found;
     run.current->answer = received.answer;
     run.current->head = received.head;
+    run.confidence = received.head.confidence;
     run.current->lastHeard = std::max(run.current->lastHeard, now());
     if (received.head.load) {
         m_tools.backends->noteLoad(run.current->runner, *received.head.load);
@@ -282,6 +285,9 @@
         return;
     }
     run &run = *found;
+    if (run.hasBegun) {
+        run.longestPause = std::max(run.longestPause, now() - run.current->lastHeard);
+    }
     run.current->lastHeard = now();
     if (!run.current->hasEvent) {
         run.current->hasEvent = true;
@@ -299,6 +305,7 @@
     }
     if (!run.hasBegun) {
         run.hasBegun = true;
+        run.firstEventAt = now();
         actions.push_back(begin_stream{run.request.request, run.current->answer});
     }
     if (received.number) {
@@ -456,7 +463,14 @@
         line.fields.emplace_back("route", run.route().name);
         line.fields.emplace_back("service", run.service.value());
         line.fields.emplace_back("model", run.model);
-        line.fields.emplace_back("confidence", run.current && run.current->head.confidence ? std::to_string(*run.current->head.confidence) : "none");
+        line.fields.emplace_back("priority", std::to_string(run.match.priority()));
+        if (run.confidence) {
+            line.fields.emplace_back("confidence", std::to_string(*run.confidence));
+        }
+        if (run.hasBegun) {
+            line.fields.emplace_back("first_event_ms", milliseconds(run.firstEventAt - run.arrived));
+            line.fields.emplace_back("longest_pause_ms", milliseconds(run.longestPause));
+        }
         line.fields.emplace_back("configuration", std::to_string(run.match.configuration->version));
         std::string runners;
         for (const runner_id &runner : run.tried) {
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -67,6 +67,10 @@
         /// Attempts that no statement of a runner shows to have ended before running.
         unsigned attemptsThatMayHaveRun = 0;
         bool hasBegun = false;
+        steady_time firstEventAt;
+        /// Longest time between two events.
+        duration longestPause{};
+        std::optional<unsigned> confidence;
         std::optional<std::uint64_t> lastEvent;
         /// A failure that a runner answered with; passed on when no other attempt does better.
         held_answer_pointer failure;
