--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -22,7 +22,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-
 namespace crocuslane {
 
 namespace {
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -443,8 +443,8 @@
     {
         const MHD_ConnectionInfo *info =
             MHD_get_connection_info(exchange->connection(), MHD_CONNECTION_INFO_CONNECTION_FD);
-        exchange->watcher = std::make_unique<close_watcher>(
-            loop.reactor(), info->connect_fd, [this, weak = std::weak_ptr(exchange)] {
+        exchange->watcher =
+            std::make_unique<close_watcher>(loop.reactor(), info->connect_fd, [this, weak = std::weak_ptr(exchange)] {
                 if (const std::shared_ptr<connection_exchange> closed = weak.lock()) {
                     closed->abort();
                     flushLater();
@@ -508,8 +508,10 @@
         return static_cast<private_data *>(self)->beginRequest(connection, target);
     }
 
-    static void
-    connectionCallback(void * /*self*/, MHD_Connection *connection, void ** /*state*/, MHD_ConnectionNotificationCode code)
+    static void connectionCallback(void * /*self*/,
+                                   MHD_Connection *connection,
+                                   void ** /*state*/,
+                                   MHD_ConnectionNotificationCode code)
     {
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
             setSilenceDetection(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -65,8 +65,8 @@
     if (running >= need.engine->slots) {
         return false;
     }
-    const double perRequest =
-        state.running > 0 ? static_cast<double>(state.memoryTokens) / state.running : need.promptTokens + need.outputTokens;
+    const double perRequest = state.running > 0 ? static_cast<double>(state.memoryTokens) / state.running
+                                                : need.promptTokens + need.outputTokens;
     const double others = (running - std::min(running, state.running)) * perRequest;
     const double used = static_cast<double>(state.memoryTokens) + others;
     return used + need.promptTokens + need.outputTokens <= usableMemory * static_cast<double>(need.engine->memoryTokens)
@@ -89,14 +89,15 @@
     const prompt_part *part = need.prompt == nullptr ? nullptr : sharedPart(*need.prompt);
     if (part != nullptr && need.engine != nullptr) {
         // All VMs compute the same order of runners for a part, so that they read it on few runners without talking.
-        const auto preferred = std::max_element(possible.begin(), possible.end(), [part](const scored &a, const scored &b) {
-            return affinity(*part, a.state->entry.id) < affinity(*part, b.state->entry.id);
-        });
+        const auto preferred =
+            std::max_element(possible.begin(), possible.end(), [part](const scored &a, const scored &b) {
+                return affinity(*part, a.state->entry.id) < affinity(*part, b.state->entry.id);
+            });
         preferred->cost -= sharedChoiceGain * toMilliseconds(m_speed.timeFor(need.model, part->tokens));
     }
-    const double best =
-        std::min_element(possible.begin(), possible.end(), [](const scored &a, const scored &b) { return a.cost < b.cost; })
-            ->cost;
+    const double best = std::min_element(possible.begin(), possible.end(), [](const scored &a, const scored &b) {
+                            return a.cost < b.cost;
+                        })->cost;
     std::erase_if(possible, [best](const scored &each) { return each.cost > best + nearBestMilliseconds; });
     return possible[m_random.below(possible.size())];
 }
@@ -108,7 +109,8 @@
     if (need.engine != nullptr) {
         const std::uint32_t cached = need.prompt == nullptr ? 0 : state.prompts.cachedTokens(*need.prompt, now);
         const std::uint32_t missing = need.promptTokens - std::min(need.promptTokens, cached);
-        wait = toMilliseconds(state.unreadTime + m_speed.timeFor(need.model, missing)) + running * millisecondsPerRunning;
+        wait =
+            toMilliseconds(state.unreadTime + m_speed.timeFor(need.model, missing)) + running * millisecondsPerRunning;
     } else {
         const double slots = std::max(1U, state.entry.slots);
         wait = serviceMilliseconds * (1.0 + running / slots);
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -104,9 +104,8 @@
     }
     // Requests of a session stay at one service.
     constexpr double hashRange = 4294967296.0;
-    const double lot = session.empty()
-        ? m_tools.random->unit()
-        : static_cast<double>(std::hash<std::string>{}(session) & 0xffffffffU) / hashRange;
+    const double lot = session.empty() ? m_tools.random->unit()
+                                       : static_cast<double>(std::hash<std::string>{}(session)&0xffffffffU) / hashRange;
     double rest = lot * total;
     for (const service_share &share : route.services) {
         rest -= share.weight;
@@ -136,15 +135,13 @@
     }
     const std::string &largest = run.route().models.back().value();
     const steady_time latest = run.arrived + fromSeconds(escalationPart * toSeconds(run.route().objective));
-    if (run.model == largest || !mayRepeat(run) || now() > latest
-        || !m_budget.take(run.service, vmCount(), now())) {
+    if (run.model == largest || !mayRepeat(run) || now() > latest || !m_budget.take(run.service, vmCount(), now())) {
         return false;
     }
-    actions.push_back(log_decision{"answer_escalated",
-                                   run.request.request,
-                                   {{"confidence", std::to_string(*current.head.confidence)},
-                                    {"from", run.model},
-                                    {"to", largest}}});
+    actions.push_back(
+        log_decision{"answer_escalated",
+                     run.request.request,
+                     {{"confidence", std::to_string(*current.head.confidence)}, {"from", run.model}, {"to", largest}}});
     run.tried.erase(current.runner);
     cancelAttempt(run, attempt_end::cancelled, actions);
     useModel(run, largest);
@@ -189,8 +186,8 @@
     version_rule rule;
     if (m_tools.rollouts != nullptr) {
         const bool isFirst = run.attempts == 0;
-        rule = isFirst ? m_tools.rollouts->choose(run.service, run.request.session)
-                       : m_tools.rollouts->rule(run.service);
+        rule =
+            isFirst ? m_tools.rollouts->choose(run.service, run.request.session) : m_tools.rollouts->rule(run.service);
     }
     backend_need need = needOf(run, rule);
     std::optional<backend_choice> choice = m_tools.backends->pick(need);
@@ -377,10 +374,8 @@
 {
     const bool isFirstSend = run.attempts == 0;
     if (!mayRepeat(run) || (!isFirstSend && !m_budget.take(run.service, vmCount(), now()))) {
-        endWithoutAnswer(run,
-                         refusal_reason::attempts_exhausted_not_run,
-                         refusal_reason::attempts_exhausted_may_have_run,
-                         actions);
+        endWithoutAnswer(
+            run, refusal_reason::attempts_exhausted_not_run, refusal_reason::attempts_exhausted_may_have_run, actions);
         return;
     }
     if (!m_tools.backends->hasRunner(needOf(run, {}))) {
@@ -544,8 +539,7 @@
             if (run.current) {
                 cancelAttempt(run, attempt_end::cancelled, actions);
             }
-            endWithoutAnswer(
-                run, refusal_reason::deadline_not_run, refusal_reason::deadline_may_have_run, actions);
+            endWithoutAnswer(run, refusal_reason::deadline_not_run, refusal_reason::deadline_may_have_run, actions);
         } else if (!run.current) {
             endWithoutAnswer(
                 run, refusal_reason::no_capacity, refusal_reason::attempts_exhausted_may_have_run, actions);
