--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -11,7 +11,9 @@
 // Share of an engine's memory that requests in progress may fill; beyond it the engine preempts running requests.
 constexpr double usableMemory = 0.9;
 // Each running request lengthens a step of the engine.
-constexpr double millisecondsPerRunning = 2.0;
+constexpr double millisecondsPerRunning = 6.0;
+// While a prompt is read, the other streams of the runner pause; this share of their time counts.
+constexpr double neighbourShare = 0.1;
 constexpr double serviceMilliseconds = 60.0;
 constexpr double failurePenaltyMilliseconds = 2000.0;
 // Round trips to another zone and region, with what the bytes cost there.
@@ -109,8 +111,9 @@
     if (need.engine != nullptr) {
         const std::uint32_t cached = need.prompt == nullptr ? 0 : state.prompts.cachedTokens(*need.prompt, now);
         const std::uint32_t missing = need.promptTokens - std::min(need.promptTokens, cached);
-        wait =
-            toMilliseconds(state.unreadTime + m_speed.timeFor(need.model, missing)) + running * millisecondsPerRunning;
+        const double reading = toMilliseconds(m_speed.timeFor(need.model, missing));
+        wait = toMilliseconds(state.unreadTime) + reading
+            + running * (millisecondsPerRunning + neighbourShare * reading);
     } else {
         const double slots = std::max(1U, state.entry.slots);
         wait = serviceMilliseconds * (1.0 + running / slots);
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -579,6 +579,31 @@
     return m_runs.size();
 }
 
+std::string forward_flow::describeOldest() const
+{
+    const auto oldest = std::min_element(m_runs.begin(), m_runs.end(), [](const auto &left, const auto &right) {
+        return left.second.arrived < right.second.arrived;
+    });
+    if (oldest == m_runs.end()) {
+        return {};
+    }
+    const run &run = oldest->second;
+    std::string text = fmt::format("{} age_ms={} attempts={} left_ms={}",
+                                   run.request.request.value(),
+                                   milliseconds(now() - run.arrived),
+                                   run.attempts,
+                                   milliseconds(run.deadline - now()));
+    if (run.lastEvent) {
+        text += fmt::format(" last_event={}", *run.lastEvent);
+    }
+    if (run.current) {
+        text += fmt::format(" runner={} heard_ms={}",
+                            run.current->runner.value(),
+                            milliseconds(now() - run.current->lastHeard));
+    }
+    return text;
+}
+
 std::size_t forward_flow::waiting() const
 {
     return m_line.size();
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -33,6 +33,8 @@
     steady_time nextDeadline() const;
 
     std::size_t size() const;
+    /// State of the request that has been in progress for longest; empty without one.
+    std::string describeOldest() const;
     std::size_t waiting() const;
 
 private:
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -83,6 +83,9 @@
     {
         status["requests"] = m_flow->size();
         status["waiting"] = m_flow->waiting();
+        if (const std::string oldest = m_flow->describeOldest(); !oldest.empty()) {
+            status["oldest"] = oldest;
+        }
     }
 
 private:
