Let the confidence that an answer needs fall with the expected delay of the larger model

The bound is 50 where the larger model would answer at once, and falls in proportion to its expected delay against the objective.

--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -24,8 +24,10 @@
 constexpr std::chrono::milliseconds shortestRetryAfter{300};
 constexpr std::uint64_t retryAfterSpreadMilliseconds = 900;
 constexpr std::uint32_t assumedOutputTokens = 200;
-// An answer whose model is less sure of it is asked again of the largest model.
-constexpr unsigned sufficientConfidence = 50;
+// An answer whose model is less sure of it is asked again of the largest model. The longer the answer of that model
+// would take, the less sure the first one needs to be.
+constexpr double sufficientConfidence = 50.0;
+constexpr double leastConfidence = 15.0;
 // Part of the objective after which the answer of a larger model would come too late.
 constexpr double escalationPart = 0.5;
 
@@ -128,27 +130,49 @@
 
 bool forward_flow::escalate(run &run, action_list &actions)
 {
-    const attempt &current = *run.current;
-    if (run.hasBegun || run.model.empty() || !current.head.confidence || !isSuccess(current.head.status)
-        || *current.head.confidence >= sufficientConfidence) {
+    const forward_answer_head &head = run.current->head;
+    if (run.hasBegun || run.model.empty() || !head.confidence || !isSuccess(head.status)) {
         return false;
     }
+    const std::string before = run.model;
     const std::string &largest = run.route().models.back().value();
     const steady_time latest = run.arrived + fromSeconds(escalationPart * toSeconds(run.route().objective));
-    if (run.model == largest || !mayRepeat(run) || now() > latest || !m_budget.take(run.service, vmCount(), now())) {
+    if (before == largest || *head.confidence >= sufficientConfidence || !mayRepeat(run) || now() > latest) {
         return false;
     }
-    actions.push_back(
-        log_decision{"answer_escalated",
-                     run.request.request,
-                     {{"confidence", std::to_string(*current.head.confidence)}, {"from", run.model}, {"to", largest}}});
-    run.tried.erase(current.runner);
-    cancelAttempt(run, attempt_end::cancelled, actions);
     useModel(run, largest);
-    startOrWait(run, actions);
+    const std::optional<backend_choice> choice = pickAgain(run);
+    if (!choice || *head.confidence >= neededConfidence(run, *choice)
+        || !m_budget.take(run.service, vmCount(), now())) {
+        useModel(run, before);
+        return false;
+    }
+    actions.push_back(log_decision{"answer_escalated",
+                                   run.request.request,
+                                   {{"confidence", std::to_string(*head.confidence)},
+                                    {"to", run.model},
+                                    {"expected_ms", milliseconds(choice->expectedDelay)}}});
+    cancelAttempt(run, attempt_end::cancelled, actions);
+    startAttempt(run, needOf(run, versionRule(run)), *choice, actions);
     return true;
 }
 
+double forward_flow::neededConfidence(const run &run, const backend_choice &choice) const
+{
+    const double delay = toSeconds(choice.expectedDelay) / toSeconds(run.route().objective);
+    return std::max(sufficientConfidence * (1.0 - delay), leastConfidence);
+}
+
+version_rule forward_flow::versionRule(const run &run) const
+{
+    return m_tools.rollouts == nullptr ? version_rule{} : m_tools.rollouts->rule(run.service);
+}
+
+std::optional<backend_choice> forward_flow::pickAgain(const run &run) const
+{
+    return m_tools.backends->pick(needOf(run, versionRule(run)));
+}
+
 backend_need forward_flow::needOf(const run &run, const version_rule &rule) const
 {
     backend_need need;
@@ -552,9 +576,7 @@
 void forward_flow::leaveSilentRunner(run &run, action_list &actions)
 {
     // A silent runner may still answer: the attempt ends only when another runner can go on at once.
-    const version_rule rule = m_tools.rollouts == nullptr ? version_rule{} : m_tools.rollouts->rule(run.service);
-    const backend_need need = needOf(run, rule);
-    const std::optional<backend_choice> choice = mayRepeat(run) ? m_tools.backends->pick(need) : std::nullopt;
+    const std::optional<backend_choice> choice = mayRepeat(run) ? pickAgain(run) : std::nullopt;
     if (!choice || !m_budget.take(run.service, vmCount(), now())) {
         run.current->lastHeard = now();
         schedule(run);
@@ -566,7 +588,7 @@
                                     {"next", choice->runner.value()},
                                     {"had_events", run.current->hasEvent ? "true" : "false"}}});
     cancelAttempt(run, attempt_end::lost, actions);
-    startAttempt(run, need, *choice, actions);
+    startAttempt(run, needOf(run, versionRule(run)), *choice, actions);
 }
 
 steady_time forward_flow::nextDeadline() const
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -89,6 +89,11 @@
     void useModel(run &run, std::string model) const;
     /// Drops a weak answer of a small model before the caller has any of it; false when it is kept.
     bool escalate(run &run, action_list &actions);
+    /// Confidence with which an answer is kept, though @p choice could make a better one.
+    double neededConfidence(const run &run, const backend_choice &choice) const;
+    version_rule versionRule(const run &run) const;
+    /// A runner for one more attempt at once.
+    std::optional<backend_choice> pickAgain(const run &run) const;
     backend_need needOf(const run &run, const version_rule &rule) const;
     bool tryStart(run &run, action_list &actions);
     void startOrWait(run &run, action_list &actions);
