Log each decision on a request to standard output, without waiting for the reader

Cause: on-call engineers had one line at the end of a request; why it was repeated or refused could not be found from its id.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -5,7 +5,7 @@
 install(TARGETS crocuslaned RUNTIME DESTINATION ${CMAKE_INSTALL_SBINDIR} COMPONENT crocuslane)
 install(FILES docs/man/crocuslane.1 DESTINATION ${CMAKE_INSTALL_MANDIR}/man1 COMPONENT crocuslane)
 install(FILES docs/man/crocuslaned.8 DESTINATION ${CMAKE_INSTALL_MANDIR}/man8 COMPONENT crocuslane)
-install(FILES docs/configuration.md docs/glossary.md docs/interface.md docs/operations.md docs/settings.md LICENSE
+install(FILES docs/configuration.md docs/glossary.md docs/interface.md docs/OPERATIONS.md docs/settings.md LICENSE
         DESTINATION ${CMAKE_INSTALL_DOCDIR} COMPONENT crocuslane)
 install(DIRECTORY examples DESTINATION ${CMAKE_INSTALL_DOCDIR} COMPONENT crocuslane)
 
--- a/src/apps/crocuslane/tests/documentation_test.cpp
+++ b/src/apps/crocuslane/tests/documentation_test.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("manual and operations pages, commands, are all described", "[documentation]")
 {
     const std::string manual = readPage("man/crocuslane.1");
-    const std::string operations = readPage("operations.md");
+    const std::string operations = readPage("OPERATIONS.md");
     for (const command &command : allCommands()) {
         CHECK_THAT(manual,
                    Contains("\n.B " + std::string(command.name)) || Contains("\n.BI " + std::string(command.name)));
--- a/src/libs/base/logger.cpp
+++ b/src/libs/base/logger.cpp
@@ -5,7 +5,8 @@
 #include <fmt/chrono.h>
 #include <fmt/core.h>
 
-#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
 
 namespace crocuslane {
 
@@ -19,7 +20,8 @@
 });
 
 constexpr std::chrono::seconds repeatWindow{1};
-constexpr unsigned linesPerWindow = 20;
+// Bounds the volume: each event writes at most this many lines in a window, and counts the others.
+constexpr unsigned linesPerWindow = 50;
 
 bool needsQuotes(std::string_view value)
 {
@@ -90,7 +92,28 @@
     if (suppressedBefore > 0) {
         line += fmt::format(" suppressed={}", suppressedBefore);
     }
-    fmt::print(stderr, "{}\n", line);
+    line += '\n';
+    writeWithoutBlocking(line);
+}
+
+void logger::writeWithoutBlocking(std::string_view line)
+{
+    // A pipe that polls as writable takes a line of up to PIPE_BUF bytes at once. A reader that is stuck must not stop
+    // the process, so that lines are dropped and counted meanwhile.
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool isWritable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    if (!isWritable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped == 0) {
+        return;
+    }
+    const std::string note = fmt::format("process={} event=log_lines_dropped count={}\n", m_process, m_dropped);
+    m_dropped = 0;
+    if (::write(STDOUT_FILENO, note.data(), note.size()) < 0) {
+        ++m_dropped;
+    }
 }
 
 } // namespace crocuslane
--- a/src/libs/base/logger.h
+++ b/src/libs/base/logger.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -23,7 +24,8 @@
     std::string value;
 };
 
-/// Writes one structured line per event to standard error. Repeats of an event are limited in rate and counted.
+/// Writes one structured line per event to standard output, without ever waiting for its reader. Repeats of an event are
+/// limited in rate and counted.
 class logger
 {
 public:
@@ -32,6 +34,8 @@
     void write(log_level level, std::string_view event, const std::vector<log_field> &fields);
 
 private:
+    void writeWithoutBlocking(std::string_view line);
+
     struct repeat_state {
         steady_time windowStart;
         unsigned written = 0;
@@ -42,6 +46,7 @@
     std::string m_process;
     log_level m_threshold;
     std::map<std::string, repeat_state, std::less<>> m_repeats;
+    std::uint64_t m_dropped = 0;
 };
 
 } // namespace crocuslane
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -255,6 +255,14 @@
     }
     action.resumeAfter = run.lastEvent;
     action.isStream = isStream(run.route().kind);
+    actions.push_back(log_decision{"attempt_started",
+                                   run.request.request,
+                                   {{"attempt", std::to_string(run.attempts)},
+                                    {"runner", choice.runner.value()},
+                                    {"version", choice.version},
+                                    {"model", run.model},
+                                    {"expected_ms", milliseconds(choice.expectedDelay)},
+                                    {"left_ms", milliseconds(action.timeLeft)}}});
     actions.push_back(std::move(action));
     schedule(run);
 }
@@ -283,6 +291,9 @@
     if (received.head.load) {
         m_tools.backends->noteLoad(run.current->runner, *received.head.load);
     }
+    if (received.head.isNotRun || received.head.isMisdirected || !received.head.isGenuine) {
+        logRefusedHead(run, received.head, actions);
+    }
     if (received.head.isNotRun || received.head.isMisdirected) {
         --run.attemptsThatMayHaveRun;
         cancelAttempt(run, received.head.isMisdirected ? attempt_end::misdirected : attempt_end::refused, actions);
@@ -299,6 +310,21 @@
     }
 }
 
+void forward_flow::logRefusedHead(const run &run, const forward_answer_head &head, action_list &actions) const
+{
+    std::string_view meaning = "answer_not_genuine";
+    if (head.isMisdirected) {
+        meaning = "other_runner_at_address";
+    } else if (head.isNotRun) {
+        meaning = "not_run";
+    }
+    actions.push_back(log_decision{"attempt_refused",
+                                   run.request.request,
+                                   {{"runner", run.current->runner.value()},
+                                    {"status", std::to_string(head.status)},
+                                    {"meaning", std::string(meaning)}}});
+}
+
 void forward_flow::receiveEvent(const forward_event_received &received, action_list &actions)
 {
     run *found = runOf(received.attempt);
@@ -377,6 +403,12 @@
         return;
     }
     run &run = *found;
+    actions.push_back(log_decision{"attempt_failed",
+                                   run.request.request,
+                                   {{"runner", run.current->runner.value()},
+                                    {"failure", std::string(toName(failed.failure))},
+                                    {"had_events", run.current->hasEvent ? "true" : "false"},
+                                    {"milliseconds", milliseconds(now() - run.current->started)}}});
     if (failed.failure == attempt_failure::not_sent) {
         --run.attempts;
         --run.attemptsThatMayHaveRun;
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -104,6 +104,7 @@
     bool mayRepeat(const run &run) const;
     void endAttempt(run &run, attempt_end end);
     void cancelAttempt(run &run, attempt_end end, action_list &actions);
+    void logRefusedHead(const run &run, const forward_answer_head &head, action_list &actions) const;
     void observe(const run &run, const attempt &attempt, bool hasFailed);
     void endWithoutAnswer(run &run, refusal_reason notRun, refusal_reason mayHaveRun, action_list &actions);
     void refuse(run &run, refusal_reason reason, action_list &actions);
