--- a/src/libs/net/header_field.h
+++ b/src/libs/net/header_field.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crocuslane {
@@ -13,4 +14,8 @@
 
 using header_list = std::vector<header_field>;
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+/// Value of the first field of this name in any case; null when there is none.
+const std::string *findField(const header_list &fields, std::string_view name);
+
 } // namespace crocuslane
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -9,8 +9,6 @@
 
 #include <unistd.h>
 
-#include <algorithm>
-#include <cctype>
 #include <map>
 #include <optional>
 #include <utility>
@@ -26,19 +24,10 @@
 constexpr std::string_view statusLinePrefix = "HTTP/";
 constexpr std::uint32_t firstFinalStatus = 200;
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) {
-        return std::tolower(a) == std::tolower(b);
-    });
-}
-
 curl_slist *appendExactFields(curl_slist *list, const header_list &fields)
 {
     for (const std::string_view own : {"Accept", "Content-Type"}) {
-        const bool isGiven = std::any_of(fields.begin(), fields.end(), [own](const header_field &field) {
-            return equalsIgnoringCase(field.name, own);
-        });
+        const bool isGiven = findField(fields, own) != nullptr;
         if (!isGiven) {
             list = curl_slist_append(list, (std::string(own) + ":").c_str());
         }
@@ -429,12 +418,7 @@
 
 const std::string *http_response_head::find(std::string_view name) const
 {
-    for (const header_field &field : fields) {
-        if (equalsIgnoringCase(field.name, name)) {
-            return &field.value;
-        }
-    }
-    return nullptr;
+    return findField(fields, name);
 }
 
 http_client::http_client(event_loop &loop)
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -1,5 +1,6 @@
 #include "base/random_source.h"
 #include "plugins/forwarding/forward_flow.h"
+#include "support/action_queries.h"
 
 #include <catch2/catch.hpp>
 
@@ -198,26 +199,6 @@
         return actions;
     }
 
-    template<typename wanted>
-    static std::vector<wanted> all(const action_list &actions)
-    {
-        std::vector<wanted> found;
-        for (const action &each : actions) {
-            if (const auto *content = std::get_if<wanted>(&each)) {
-                found.push_back(*content);
-            }
-        }
-        return found;
-    }
-
-    template<typename wanted>
-    static wanted one(const action_list &actions)
-    {
-        const std::vector<wanted> found = all<wanted>(actions);
-        REQUIRE(found.size() == 1);
-        return found.front();
-    }
-
     static refusal_reason refusal(const action_list &actions)
     {
         return one<refuse_forward>(actions).reason;
--- a/src/plugins/requests/tests/requests_fixture.h
+++ b/src/plugins/requests/tests/requests_fixture.h
@@ -2,6 +2,7 @@
 
 #include "kernel/kernel.h"
 #include "plugins/requests/tests/fake_services.h"
+#include "support/action_queries.h"
 
 #include <catch2/catch.hpp>
 
@@ -70,26 +71,6 @@
         return send(timer_expired{});
     }
 
-    template<typename wanted>
-    static std::vector<wanted> all(const action_list &actions)
-    {
-        std::vector<wanted> found;
-        for (const action &action : actions) {
-            if (const auto *match = std::get_if<wanted>(&action)) {
-                found.push_back(*match);
-            }
-        }
-        return found;
-    }
-
-    template<typename wanted>
-    static wanted one(const action_list &actions)
-    {
-        const std::vector<wanted> found = all<wanted>(actions);
-        REQUIRE(found.size() == 1);
-        return found.front();
-    }
-
     static void checkError(const action_list &actions, error_code code, execution_state execution)
     {
         const request_error error = one<refuse_request>(actions).error;
