--- a/src/libs/base/logger.h
+++ b/src/libs/base/logger.h
@@ -24,8 +24,8 @@
     std::string value;
 };
 
-/// Writes one structured line per event to standard output, without ever waiting for its reader. Repeats of an event are
-/// limited in rate and counted.
+/// Writes one structured line per event to standard output, without ever waiting for its reader. Repeats of an event
+/// are limited in rate and counted.
 class logger
 {
 public:
