Watch libcurl's sockets through a set of their own

Cause: libcurl closes the socket of a failed connection attempt with close() and tells its socket callback afterwards; the callback for closing is not called for a socket that never was connected. remove_handler() of the reactor then fails with EBADF and keeps the binding. The destruction of the reactor called the freed handler, and until then a new connection with the same descriptor was not watched as it should be.

Change: socket_set, an epoll descriptor that the reactor watches as one handler. The system forgets a closed descriptor by itself.

Test: a connection attempt that times out leaves no handler behind; it failed with "descriptor 16" and a segmentation fault before.

The call into the heap that was seen once is the same kind of call, a virtual one on a freed handler; it has no trace of its own.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -2,13 +2,10 @@
 
 #include "net/event_loop.h"
 #include "net/silence_detection.h"
+#include "net/socket_set.h"
 
-#include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
 #include <curl/curl.h>
 
-#include <unistd.h>
-
 #include <map>
 #include <optional>
 #include <utility>
@@ -65,48 +62,23 @@
         private_data *owner = nullptr;
     };
 
-    class socket_watcher : public ACE_Event_Handler
-    {
-    public:
-        socket_watcher(private_data &owner, curl_socket_t socket)
-            : m_owner(owner)
-            , m_socket(socket)
-        {
-        }
-
-        ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): name given by ACE
-        {
-            return m_socket;
-        }
-
-        int handle_input(ACE_HANDLE /*handle*/) override
-        {
-            m_owner.socketReady(m_socket, CURL_CSELECT_IN);
-            return 0;
-        }
-
-        int handle_output(ACE_HANDLE /*handle*/) override
-        {
-            m_owner.socketReady(m_socket, CURL_CSELECT_OUT);
-            return 0;
-        }
-
-        bool isRegistered = false;
-
-    private:
-        private_data &m_owner;
-        curl_socket_t m_socket;
-    };
-
     explicit private_data(event_loop &loop)
         : loop(loop)
+        , sockets(
+              loop, [this](int socket, socket_events events) { socketReady(socket, events); }, [this] { finishTurn(); })
     {
     }
 
-    void socketReady(curl_socket_t socket, int events)
+    void socketReady(curl_socket_t socket, socket_events events)
     {
+        const int bits = (events.isReadable ? CURL_CSELECT_IN : 0) | (events.isWritable ? CURL_CSELECT_OUT : 0)
+            | (events.isFailed ? CURL_CSELECT_ERR : 0);
         int running = 0;
-        curl_multi_socket_action(multi, socket, events, &running);
+        curl_multi_socket_action(multi, socket, bits, &running);
+    }
+
+    void finishTurn()
+    {
         applyDeferred();
         readResults();
     }
@@ -238,34 +210,6 @@
         });
     }
 
-    void setWatch(curl_socket_t socket, int what)
-    {
-        std::unique_ptr<socket_watcher> &watcher = watchers[socket];
-        if (!watcher) {
-            watcher = std::make_unique<socket_watcher>(*this, socket);
-        }
-        ACE_Reactor_Mask mask = 0;
-        if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) {
-            mask |= ACE_Event_Handler::READ_MASK;
-        }
-        if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) {
-            mask |= ACE_Event_Handler::WRITE_MASK;
-        }
-        if (mask == 0) {
-            if (watcher->isRegistered) {
-                loop.reactor().remove_handler(watcher.get(),
-                                              ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-            }
-            watcher->isRegistered = false;
-            return;
-        }
-        if (watcher->isRegistered) {
-            loop.reactor().mask_ops(watcher.get(), mask, ACE_Reactor::SET_MASK);
-            return;
-        }
-        watcher->isRegistered = loop.reactor().register_handler(watcher.get(), mask) == 0;
-    }
-
     void setTimer(long milliseconds)
     {
         if (multiTimer) {
@@ -279,24 +223,22 @@
             multiTimer.reset();
             int running = 0;
             curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
-            applyDeferred();
-            readResults();
+            finishTurn();
         });
     }
 
     static int socketCallback(CURL * /*handle*/, curl_socket_t socket, int what, void *self, void * /*socketData*/)
     {
-        static_cast<private_data *>(self)->setWatch(socket, what);
+        socket_set &sockets = static_cast<private_data *>(self)->sockets;
+        if (what == CURL_POLL_REMOVE) {
+            sockets.unwatch(socket);
+            return 0;
+        }
+        sockets.watch(
+            socket, what == CURL_POLL_IN || what == CURL_POLL_INOUT, what == CURL_POLL_OUT || what == CURL_POLL_INOUT);
         return 0;
     }
 
-    /// libcurl may close a socket that it has not told to stop watching; the reactor can't remove a closed one.
-    static int closeCallback(void *self, curl_socket_t socket)
-    {
-        static_cast<private_data *>(self)->setWatch(socket, CURL_POLL_REMOVE);
-        return ::close(socket);
-    }
-
     static int timerCallback(CURLM * /*multi*/, long milliseconds, void *self)
     {
         static_cast<private_data *>(self)->setTimer(milliseconds);
@@ -402,12 +344,10 @@
     }
 
     event_loop &loop;
+    socket_set sockets;
     CURLM *multi = nullptr;
     transfer_number lastNumber = 0;
     std::map<transfer_number, std::unique_ptr<transfer>> transfers;
-    /// One for each descriptor number that was ever used, kept to the end: the reactor may still dispatch an event of a
-    /// watcher that it was told to remove, and it can't remove one whose descriptor was closed first.
-    std::map<curl_socket_t, std::unique_ptr<socket_watcher>> watchers;
     bool isInCallback = false;
     std::vector<std::unique_ptr<transfer>> cancelledInCallback;
     std::vector<transfer_number> startedInCallback;
@@ -461,8 +401,6 @@
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &private_data::writeCallback);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &private_data::closeCallback);
-    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, d.get());
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -2,12 +2,18 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 
+#include <ace/Reactor.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
 #include <cerrno>
+#include <vector>
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace crocuslane;
@@ -98,6 +104,49 @@
     int m_abandoned = 0;
 };
 
+/// A listening socket whose queue is full: the system drops what else connects, so that it is never answered.
+class full_listener
+{
+public:
+    full_listener()
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int listener = open();
+        REQUIRE(::bind(listener, reinterpret_cast<const sockaddr *>(&any), sizeof any) == 0);
+        REQUIRE(::listen(listener, 0) == 0);
+        sockaddr_in bound{};
+        socklen_t size = sizeof bound;
+        REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &size) == 0);
+        for (int filling = 0; filling < 4; ++filling) {
+            ::connect(open(), reinterpret_cast<const sockaddr *>(&bound), sizeof bound);
+        }
+        address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    }
+
+    ~full_listener()
+    {
+        for (const int socket : m_sockets) {
+            ::close(socket);
+        }
+    }
+
+    full_listener(const full_listener &) = delete;
+    full_listener &operator=(const full_listener &) = delete;
+
+    std::string address;
+
+private:
+    int open()
+    {
+        m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        return m_sockets.back();
+    }
+
+    std::vector<int> m_sockets;
+};
+
 } // namespace
 
 // Guards against a body lost between server and client.
@@ -154,6 +203,25 @@
     CHECK(m_result == transfer_result::not_connected);
 }
 
+// Guards against a handler that stays with the reactor after its descriptor was closed: the next connection with that
+// descriptor is then not watched, and the reactor calls a destroyed handler when it ends.
+TEST_CASE_METHOD(http_fixture, "http client, connection attempt that times out, leaves no handler behind", "[net]")
+{
+    const full_listener listener;
+    m_address = listener.address;
+    http_client_request request;
+    request.target = "/echo";
+    request.connectTimeout = std::chrono::milliseconds(50);
+    exchangeOnce(request);
+    CHECK(m_result == transfer_result::not_connected);
+    constexpr int descriptors = 256;
+    for (int descriptor = 0; descriptor < descriptors; ++descriptor) {
+        const bool isClosed = ::fcntl(descriptor, F_GETFD) == -1;
+        INFO("descriptor " << descriptor);
+        CHECK_FALSE((isClosed && m_loop.reactor().find_handler(descriptor) != nullptr));
+    }
+}
+
 // Guards against a transfer that never starts, and so never ends, because it was asked for while data arrived: curl
 // refuses changes of its transfers from inside its callbacks.
 TEST_CASE_METHOD(http_fixture, "http client, start while data arrives, runs the transfer", "[net]")
