--- a/src/libs/base/clock.cpp
+++ b/src/libs/base/clock.cpp
@@ -1,5 +1,8 @@
 #include "base/clock.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace crocuslane {
 
 namespace {
@@ -20,6 +23,27 @@
     return std::chrono::system_clock::now();
 }
 
+offset_clock::offset_clock(const std::string &path)
+    : m_file(path.empty() ? -1 : ::open(path.c_str(), O_RDONLY | O_CLOEXEC))
+{
+}
+
+offset_clock::~offset_clock()
+{
+    if (m_file >= 0) {
+        ::close(m_file);
+    }
+}
+
+system_time offset_clock::systemNow() const
+{
+    std::int64_t milliseconds = 0;
+    if (m_file >= 0 && ::pread(m_file, &milliseconds, sizeof milliseconds, 0) != sizeof milliseconds) {
+        milliseconds = 0;
+    }
+    return real_clock::systemNow() + std::chrono::milliseconds(milliseconds);
+}
+
 manual_clock::manual_clock()
     : m_steady(manualClockStart)
     , m_system(manualClockUnixStart)
--- a/src/libs/base/clock.h
+++ b/src/libs/base/clock.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <string>
 
 namespace crocuslane {
 
@@ -27,6 +29,23 @@
     system_time systemNow() const override;
 };
 
+/// The clocks of the operating system, with a time of day that a test shifts.
+class offset_clock : public real_clock
+{
+public:
+    /// @p path is a file of at least 8 bytes that holds the offset in milliseconds, a signed number in the machine's
+    /// byte order. It is read at each look at the time of day; without it the offset is 0.
+    explicit offset_clock(const std::string &path);
+    ~offset_clock() override;
+    offset_clock(const offset_clock &) = delete;
+    offset_clock &operator=(const offset_clock &) = delete;
+
+    system_time systemNow() const override;
+
+private:
+    int m_file = -1;
+};
+
 /// A clock that moves only when told to.
 class manual_clock : public clock
 {
