Pass on between VMs what one of them reads of the store

Each VM read each topic for itself, and each entry that a VM renewed ended the waiting calls of all others.

What a call brings, also that nothing is new, goes to the neighbours of the peer graph with its age and is passed on within the region; across regions only the VM that read it sends it. Large parts are packed once.

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -100,6 +100,29 @@
     std::string text;
 };
 
+/// Records of a keyed stream from position @c first up to @c next. A record that has the value of the one before it may
+/// be left out.
+struct stream_part {
+    struct record {
+        std::string key;
+        /// Nothing when the key was dropped.
+        std::optional<std::string> value;
+        std::uint64_t offset = 0;
+    };
+
+    std::string stream;
+    std::uint64_t first = 0;
+    std::uint64_t next = 0;
+    /// The sender knew the whole stream at this age of the message.
+    std::chrono::milliseconds age{};
+    /// How long ago the stream's store last failed to answer in time, as far as the sender knows.
+    std::optional<std::chrono::milliseconds> disturbedAge;
+    std::vector<record> records;
+    /// The records as packStreamPart() has made them, and their size before; empty for a part that is sent as it is.
+    std::string packedRecords = {};
+    std::uint32_t unpackedBytes = 0;
+};
+
 using peer_message = std::variant<heartbeat,
                                   exchange_digest,
                                   exchange_delta,
@@ -107,6 +130,7 @@
                                   bill_copy_acknowledged,
                                   bill_copy_released,
                                   configuration_fetch,
-                                  configuration_text>;
+                                  configuration_text,
+                                  stream_part>;
 
 } // namespace crocuslane
--- a/src/libs/services/member_view.h
+++ b/src/libs/services/member_view.h
@@ -42,6 +42,10 @@
     virtual const std::vector<vm_entry> &backendServers() const = 0;
     /// Connected entry VMs, those of other availability zones first.
     virtual std::vector<vm_id> connectedPeers() const = 0;
+    /// What comes from this entry VM from now on, it sent at this time or later; nothing when that is not known.
+    virtual std::optional<steady_time> sentAfter(const vm_id &peer) const = 0;
+    /// Region of an entry VM of the VM list; nothing for another one.
+    virtual std::optional<std::string> regionOf(const vm_id &peer) const = 0;
 };
 
 } // namespace crocuslane
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -6,6 +6,8 @@
 #include "wire/log_scale.h"
 #include "wire/name_list.h"
 
+#include <zlib.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -199,6 +201,47 @@
                    wire::Createconfiguration_text(builder, message.version, message.asOf, text));
 }
 
+// A record list that claims more is refused: it would fill the memory of a small VM.
+constexpr std::uint32_t largestRecordList = 8U << 20;
+
+using record_vector = flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::stream_record>>>;
+
+record_vector encodeRecords(FlatBufferBuilder &builder, const stream_part &message)
+{
+    std::vector<flatbuffers::Offset<wire::stream_record>> records;
+    for (const stream_part::record &record : message.records) {
+        const auto key = builder.CreateString(record.key);
+        const auto value =
+            record.value ? builder.CreateString(*record.value) : flatbuffers::Offset<flatbuffers::String>();
+        records.push_back(wire::Createstream_record(builder, key, value, record.offset));
+    }
+    return builder.CreateVector(records);
+}
+
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const stream_part &message)
+{
+    const auto stream = builder.CreateString(message.stream);
+    record_vector records;
+    flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> packed;
+    if (message.packedRecords.empty()) {
+        records = encodeRecords(builder, message);
+    } else {
+        packed = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(message.packedRecords.data()),
+                                      message.packedRecords.size());
+    }
+    return encoded(wire::message::stream_part,
+                   wire::Createstream_part(builder,
+                                           stream,
+                                           message.first,
+                                           message.next,
+                                           static_cast<std::uint32_t>(message.age.count()),
+                                           message.disturbedAge ? message.disturbedAge->count() : -1,
+                                           records,
+                                           packed,
+                                           message.unpackedBytes));
+}
+
 // An absent vector counts as empty.
 template<typename element>
 std::size_t sizeOf(const flatbuffers::Vector<element> *vector)
@@ -336,6 +379,69 @@
     return configuration_text{message.version(), message.as_of(), message.text()->str()};
 }
 
+using wire_records = flatbuffers::Vector<flatbuffers::Offset<wire::stream_record>>;
+
+leaf::error_id invalidPart(std::string detail)
+{
+    return leaf::new_error(wire_error{wire_fault::invalid_value, std::move(detail)});
+}
+
+leaf::result<void> decodeRecords(const wire_records *records, stream_part &part)
+{
+    for (std::size_t index = 0; index < sizeOf(records); ++index) {
+        const wire::stream_record &record = *records->Get(static_cast<flatbuffers::uoffset_t>(index));
+        if (!isValidText(record.key()->string_view())) {
+            return invalidPart("key is not UTF-8");
+        }
+        part.records.push_back({record.key()->str(), std::nullopt, record.offset()});
+        if (record.value() != nullptr) {
+            part.records.back().value = record.value()->str();
+        }
+    }
+    return {};
+}
+
+leaf::result<void> unpackRecords(const wire::stream_part &message, stream_part &part)
+{
+    part.unpackedBytes = message.unpacked_bytes();
+    if (part.unpackedBytes > largestRecordList) {
+        return invalidPart("record list is too large");
+    }
+    part.packedRecords.assign(reinterpret_cast<const char *>(message.packed()->data()), message.packed()->size());
+    std::string list(part.unpackedBytes, '\0');
+    uLongf size = part.unpackedBytes;
+    const int result = ::uncompress(reinterpret_cast<Bytef *>(list.data()),
+                                    &size,
+                                    reinterpret_cast<const Bytef *>(part.packedRecords.data()),
+                                    part.packedRecords.size());
+    if (result != Z_OK || size != part.unpackedBytes) {
+        return invalidPart("record list can't be unpacked");
+    }
+    BOOST_LEAF_AUTO(buffer, verified_buffer<wire::stream_record_list>::make(list, nullptr));
+    return decodeRecords(buffer->records(), part);
+}
+
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::stream_part &message)
+{
+    if (!isValidText(message.stream()->string_view())) {
+        return invalid("stream is not UTF-8");
+    }
+    stream_part part;
+    part.stream = message.stream()->str();
+    part.first = message.first();
+    part.next = message.next();
+    part.age = std::chrono::milliseconds(message.age_ms());
+    if (message.disturbed_age_ms() >= 0) {
+        part.disturbedAge = std::chrono::milliseconds(message.disturbed_age_ms());
+    }
+    if (sizeOf(message.packed()) > 0) {
+        BOOST_LEAF_CHECK(unpackRecords(message, part));
+    } else {
+        BOOST_LEAF_CHECK(decodeRecords(message.records(), part));
+    }
+    return part;
+}
+
 leaf::result<peer_message> decodeMessage(name_list_reader &names, const wire::envelope &envelope)
 {
     switch (envelope.message_type()) {
@@ -355,6 +461,8 @@
         return decode(names, *envelope.message_as_configuration_fetch());
     case wire::message::configuration_text:
         return decode(names, *envelope.message_as_configuration_text());
+    case wire::message::stream_part:
+        return decode(names, *envelope.message_as_stream_part());
     case wire::message::NONE:
         break;
     }
@@ -383,6 +491,25 @@
 
 } // namespace
 
+void packStreamPart(stream_part &part)
+{
+    FlatBufferBuilder builder;
+    builder.Finish(wire::Createstream_record_list(builder, encodeRecords(builder, part)));
+    uLongf size = ::compressBound(builder.GetSize());
+    std::string packed(size, '\0');
+    if (::compress2(reinterpret_cast<Bytef *>(packed.data()),
+                    &size,
+                    builder.GetBufferPointer(),
+                    builder.GetSize(),
+                    Z_BEST_SPEED)
+        != Z_OK) {
+        return;
+    }
+    packed.resize(size);
+    part.packedRecords = std::move(packed);
+    part.unpackedBytes = builder.GetSize();
+}
+
 envelope_encoder::envelope_encoder()
     : m_names(std::make_unique<name_list_writer>())
 {
--- a/src/libs/wire/envelope_codec.h
+++ b/src/libs/wire/envelope_codec.h
@@ -24,6 +24,9 @@
     peer_message message;
 };
 
+/// Packs the records of a part that is sent to several peers, or passed on, once for all of them.
+void packStreamPart(stream_part &part);
+
 /// Encodes the messages to one peer. They must all arrive, in this order: ids are sent in full only once.
 class envelope_encoder
 {
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -54,6 +54,15 @@
 struct configuration_text;
 struct configuration_textBuilder;
 
+struct stream_record;
+struct stream_recordBuilder;
+
+struct stream_part;
+struct stream_partBuilder;
+
+struct stream_record_list;
+struct stream_record_listBuilder;
+
 struct envelope;
 struct envelopeBuilder;
 
@@ -70,11 +79,12 @@
   bill_copy_released = 6,
   configuration_fetch = 7,
   configuration_text = 8,
+  stream_part = 9,
   MIN = NONE,
-  MAX = configuration_text
+  MAX = stream_part
 };
 
-inline const message (&EnumValuesmessage())[9] {
+inline const message (&EnumValuesmessage())[10] {
   static const message values[] = {
     message::NONE,
     message::heartbeat,
@@ -84,13 +94,14 @@
     message::bill_copy_acknowledged,
     message::bill_copy_released,
     message::configuration_fetch,
-    message::configuration_text
+    message::configuration_text,
+    message::stream_part
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "NONE",
     "heartbeat",
     "exchange_digest",
@@ -100,13 +111,14 @@
     "bill_copy_released",
     "configuration_fetch",
     "configuration_text",
+    "stream_part",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::configuration_text)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::stream_part)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -147,6 +159,10 @@
   static const message enum_value = message::configuration_text;
 };
 
+template<> struct messageTraits<crocuslane::wire::stream_part> {
+  static const message enum_value = message::stream_part;
+};
+
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
@@ -1280,6 +1296,295 @@
       text__);
 }
 
+struct stream_record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_recordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_OFFSET = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct stream_recordBuilder {
+  typedef stream_record Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(stream_record::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(stream_record::VT_VALUE, value);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(stream_record::VT_OFFSET, offset, 0);
+  }
+  explicit stream_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_record> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_record>(end);
+    fbb_.Required(o, stream_record::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_record> Createstream_record(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0,
+    uint64_t offset = 0) {
+  stream_recordBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct stream_record::Traits {
+  using type = stream_record;
+  static auto constexpr Create = Createstream_record;
+};
+
+inline flatbuffers::Offset<stream_record> Createstream_recordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const char *value = nullptr,
+    uint64_t offset = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return crocuslane::wire::Createstream_record(
+      _fbb,
+      key__,
+      value__,
+      offset);
+}
+
+struct stream_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_partBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_FIRST = 6,
+    VT_NEXT = 8,
+    VT_AGE_MS = 10,
+    VT_DISTURBED_AGE_MS = 12,
+    VT_RECORDS = 14,
+    VT_PACKED = 16,
+    VT_UNPACKED_BYTES = 18
+  };
+  const flatbuffers::String *stream() const {
+    return GetPointer<const flatbuffers::String *>(VT_STREAM);
+  }
+  uint64_t first() const {
+    return GetField<uint64_t>(VT_FIRST, 0);
+  }
+  uint64_t next() const {
+    return GetField<uint64_t>(VT_NEXT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  int64_t disturbed_age_ms() const {
+    return GetField<int64_t>(VT_DISTURBED_AGE_MS, -1LL);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *>(VT_RECORDS);
+  }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  uint32_t unpacked_bytes() const {
+    return GetField<uint32_t>(VT_UNPACKED_BYTES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_STREAM) &&
+           verifier.VerifyString(stream()) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_DISTURBED_AGE_MS, 8) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           VerifyField<uint32_t>(verifier, VT_UNPACKED_BYTES, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct stream_partBuilder {
+  typedef stream_part Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(flatbuffers::Offset<flatbuffers::String> stream) {
+    fbb_.AddOffset(stream_part::VT_STREAM, stream);
+  }
+  void add_first(uint64_t first) {
+    fbb_.AddElement<uint64_t>(stream_part::VT_FIRST, first, 0);
+  }
+  void add_next(uint64_t next) {
+    fbb_.AddElement<uint64_t>(stream_part::VT_NEXT, next, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(stream_part::VT_AGE_MS, age_ms, 0);
+  }
+  void add_disturbed_age_ms(int64_t disturbed_age_ms) {
+    fbb_.AddElement<int64_t>(stream_part::VT_DISTURBED_AGE_MS, disturbed_age_ms, -1LL);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>>> records) {
+    fbb_.AddOffset(stream_part::VT_RECORDS, records);
+  }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(stream_part::VT_PACKED, packed);
+  }
+  void add_unpacked_bytes(uint32_t unpacked_bytes) {
+    fbb_.AddElement<uint32_t>(stream_part::VT_UNPACKED_BYTES, unpacked_bytes, 0);
+  }
+  explicit stream_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_part> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_part>(end);
+    fbb_.Required(o, stream_part::VT_STREAM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_part> Createstream_part(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> stream = 0,
+    uint64_t first = 0,
+    uint64_t next = 0,
+    uint32_t age_ms = 0,
+    int64_t disturbed_age_ms = -1LL,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>>> records = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
+    uint32_t unpacked_bytes = 0) {
+  stream_partBuilder builder_(_fbb);
+  builder_.add_disturbed_age_ms(disturbed_age_ms);
+  builder_.add_next(next);
+  builder_.add_first(first);
+  builder_.add_unpacked_bytes(unpacked_bytes);
+  builder_.add_packed(packed);
+  builder_.add_records(records);
+  builder_.add_age_ms(age_ms);
+  builder_.add_stream(stream);
+  return builder_.Finish();
+}
+
+struct stream_part::Traits {
+  using type = stream_part;
+  static auto constexpr Create = Createstream_part;
+};
+
+inline flatbuffers::Offset<stream_part> Createstream_partDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *stream = nullptr,
+    uint64_t first = 0,
+    uint64_t next = 0,
+    uint32_t age_ms = 0,
+    int64_t disturbed_age_ms = -1LL,
+    const std::vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *records = nullptr,
+    const std::vector<uint8_t> *packed = nullptr,
+    uint32_t unpacked_bytes = 0) {
+  auto stream__ = stream ? _fbb.CreateString(stream) : 0;
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<crocuslane::wire::stream_record>>(*records) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
+  return crocuslane::wire::Createstream_part(
+      _fbb,
+      stream__,
+      first,
+      next,
+      age_ms,
+      disturbed_age_ms,
+      records__,
+      packed__,
+      unpacked_bytes);
+}
+
+struct stream_record_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_record_listBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+};
+
+struct stream_record_listBuilder {
+  typedef stream_record_list Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>>> records) {
+    fbb_.AddOffset(stream_record_list::VT_RECORDS, records);
+  }
+  explicit stream_record_listBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_record_list> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_record_list>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_record_list> Createstream_record_list(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>>> records = 0) {
+  stream_record_listBuilder builder_(_fbb);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct stream_record_list::Traits {
+  using type = stream_record_list;
+  static auto constexpr Create = Createstream_record_list;
+};
+
+inline flatbuffers::Offset<stream_record_list> Createstream_record_listDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<crocuslane::wire::stream_record>>(*records) : 0;
+  return crocuslane::wire::Createstream_record_list(
+      _fbb,
+      records__);
+}
+
 struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef envelopeBuilder Builder;
   struct Traits;
@@ -1338,6 +1643,9 @@
   const crocuslane::wire::configuration_text *message_as_configuration_text() const {
     return message_type() == crocuslane::wire::message::configuration_text ? static_cast<const crocuslane::wire::configuration_text *>(message()) : nullptr;
   }
+  const crocuslane::wire::stream_part *message_as_stream_part() const {
+    return message_type() == crocuslane::wire::message::stream_part ? static_cast<const crocuslane::wire::stream_part *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL_VERSION, 2) &&
@@ -1385,6 +1693,10 @@
   return message_as_configuration_text();
 }
 
+template<> inline const crocuslane::wire::stream_part *envelope::message_as<crocuslane::wire::stream_part>() const {
+  return message_as_stream_part();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1615,6 +1927,10 @@
       auto ptr = reinterpret_cast<const crocuslane::wire::configuration_text *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::stream_part: {
+      auto ptr = reinterpret_cast<const crocuslane::wire::stream_part *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/libs/wire/fuzz/write_seeds.cpp
+++ b/src/libs/wire/fuzz/write_seeds.cpp
@@ -40,7 +40,8 @@
                                              bill_copy_acknowledged{request_id("r")},
                                              bill_copy_released{request_id("r")},
                                              configuration_fetch{12},
-                                             configuration_text{12, 99, "[service a]\n"}};
+                                             configuration_text{12, 99, "[service a]\n"},
+                                             stream_part{"s", 4, 9, {}, {}, {{"key", "value", 5}, {"other", {}, 8}}}};
     std::vector<std::string> inputs;
     std::string stream;
     std::string connection;
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -100,6 +100,39 @@
     CHECK(std::get<configuration_fetch>(roundTrip(configuration_fetch{12})).knownVersion == 12);
     const auto text = std::get<configuration_text>(roundTrip(configuration_text{12, 99, "[service a]\n"}));
     CHECK((text.version == 12 && text.asOf == 99 && text.text == "[service a]\n"));
+
+    stream_part sent{"s", 4, 9, std::chrono::milliseconds(70), std::chrono::milliseconds(5), {}};
+    sent.records = {{"kept", "a value", 5}, {"dropped", std::nullopt, 8}};
+    const auto part = std::get<stream_part>(roundTrip(sent));
+    CHECK((part.stream == "s" && part.first == 4 && part.next == 9));
+    CHECK((part.age.count() == 70 && part.disturbedAge->count() == 5));
+    REQUIRE(part.records.size() == 2);
+    CHECK((part.records[0].key == "kept" && *part.records[0].value == "a value" && part.records[0].offset == 5));
+    CHECK((part.records[1].key == "dropped" && !part.records[1].value && part.records[1].offset == 8));
+    CHECK_FALSE(std::get<stream_part>(roundTrip(stream_part{})).disturbedAge);
+    sent.records[0].value = std::string(100000, 'v');
+    packStreamPart(sent);
+    const auto packed = std::get<stream_part>(roundTrip(sent));
+    REQUIRE(packed.records.size() == 2);
+    CHECK((*packed.records[0].value == *sent.records[0].value && !packed.records[1].value));
+    CHECK((packed.packedRecords == sent.packedRecords && packed.packedRecords.size() < 2000));
+}
+
+// Guards against a part that fills the memory of its receiver, and one whose packed records are damaged.
+TEST_CASE_METHOD(envelope_fixture, "stream part, packed records damaged or too large, is refused", "[wire]")
+{
+    stream_part part{"s", 4, 9, {}, {}, {{"key", std::string(5000, 'v'), 5}}};
+    packStreamPart(part);
+    stream_part damaged = part;
+    damaged.packedRecords[damaged.packedRecords.size() / 2] ^= 0x55;
+    CHECK_FALSE(decodeEnvelope(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, damaged}).value()));
+    stream_part large = part;
+    large.unpackedBytes = 1U << 30;
+    CHECK_FALSE(decodeEnvelope(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, large}).value()));
+    stream_part shorter = part;
+    shorter.unpackedBytes -= 1;
+    CHECK_FALSE(decodeEnvelope(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, shorter}).value()));
+    CHECK(decodeEnvelope(encodeEnvelope({vm_id("vm-1"), 7, {1, 2}, part}).value()));
 }
 
 // Guards against reads outside a damaged buffer; the sanitizer build turns one into a failure.
--- a/src/plugins/admission/tests/admission_test.cpp
+++ b/src/plugins/admission/tests/admission_test.cpp
@@ -63,6 +63,16 @@
         return m_none;
     }
 
+    std::optional<std::string> regionOf(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<steady_time> sentAfter(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+
     std::vector<vm_id> connectedPeers() const override
     {
         return {};
--- a/src/plugins/membership/membership_plugin.cpp
+++ b/src/plugins/membership/membership_plugin.cpp
@@ -94,6 +94,18 @@
     }
 
     std::vector<vm_id> connectedPeers() const override;
+
+    std::optional<steady_time> sentAfter(const vm_id &peer) const override
+    {
+        return m_connections->sentAfter(peer);
+    }
+
+    std::optional<std::string> regionOf(const vm_id &peer) const override
+    {
+        const member_record *record = m_members->find(peer);
+        return record != nullptr && record->listed ? std::optional(record->listed->region) : std::nullopt;
+    }
+
     void describe(nlohmann::json &status) const override;
 
 private:
