--- a/src/libs/net/event_loop.cpp
+++ b/src/libs/net/event_loop.cpp
@@ -31,6 +31,17 @@
     return std::min<std::size_t>(limit.rlim_cur, maximumHandles);
 }
 
+sigset_t blockSignals(const std::vector<int> &numbers)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : numbers) {
+        sigaddset(&signals, number);
+    }
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
 class signal_reader : public ACE_Event_Handler
 {
 public:
@@ -38,12 +49,7 @@
         : m_reactor(reactor)
         , m_callback(std::move(callback))
     {
-        sigset_t signals;
-        sigemptyset(&signals);
-        for (const int number : numbers) {
-            sigaddset(&signals, number);
-        }
-        sigprocmask(SIG_BLOCK, &signals, nullptr);
+        const sigset_t signals = blockSignals(numbers);
         m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
         m_reactor.register_handler(this, READ_MASK);
     }
@@ -120,6 +126,11 @@
     d->reactor->cancel_timer(d.get());
 }
 
+void event_loop::holdSignals()
+{
+    blockSignals({SIGTERM, SIGINT, SIGHUP});
+}
+
 void event_loop::run()
 {
     d->isStopped = false;
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -20,6 +20,10 @@
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
+    /// Keeps SIGTERM, SIGINT and SIGHUP for the handlers that are set later; without it, one that comes before ends the
+    /// process at once.
+    static void holdSignals();
+
     /// Runs until stop() is called from within; can be called again.
     void run();
     void stop();
