Share the run and the common actions of both nodes

entry_node and platform_node counted actions, served the connections between VMs and ran the loop with the same code. node_actions holds the common actions, runNode() the start, the loop and the report of a failed start.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -7,6 +7,7 @@
 #include "edge/caller_interface.h"
 #include "edge/decision_loop.h"
 #include "edge/log_client.h"
+#include "edge/node_actions.h"
 #include "edge/operator_interface.h"
 #include "edge/peer_network.h"
 #include "edge/platform_client.h"
@@ -37,9 +38,12 @@
 
 } // namespace
 
-struct entry_node::private_data : public decision_host {
+struct entry_node::private_data : public node_actions<entry_node::private_data> {
+    using node_actions::carryOut;
+
     private_data(entry_node &owner, entry_node::settings given, const clock &clock, event_loop &loop, logger &log)
-        : settings(std::move(given))
+        : node_actions(metrics, peers)
+        , settings(std::move(given))
         , loop(loop)
         , log(log)
         , random(systemSeed())
@@ -96,17 +100,6 @@
         isStopRequested = isStopRequested || std::holds_alternative<stop_requested>(next);
     }
 
-    void observeStep(duration processorTime) override
-    {
-        metrics.observeStep(processorTime);
-    }
-
-    void carryOut(const action &action) override
-    {
-        metrics.observe(action);
-        std::visit([this](const auto &content) { carryOut(content); }, action);
-    }
-
     void settle() override
     {
         server.flush();
@@ -200,21 +193,6 @@
         logClient.append(action);
     }
 
-    void carryOut(const connect_peer &action)
-    {
-        peers.connect(action);
-    }
-
-    void carryOut(const disconnect_peer &action)
-    {
-        peers.disconnect(action);
-    }
-
-    void carryOut(const send_to_peer &action)
-    {
-        peers.send(action);
-    }
-
     void carryOut(const watch_runners &action)
     {
         platform.watch(action);
--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -1,10 +1,10 @@
 #include "base/digest.h"
 #include "base/logger.h"
 #include "configuration/settings.h"
+#include "edge/node_run.h"
 #include "edge/port_set.h"
 #include "entry_node.h"
 #include "net/event_loop.h"
-#include "net/net_error.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
@@ -115,23 +115,7 @@
     event_loop loop;
     entry_node node(*settings, clock, loop, log);
     loop.setStopSignalHandler([&node] { node.deliver(stop_requested{}); });
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_CHECK(node.start());
-            log.write(log_level::info,
-                      "started",
-                      {{"caller_address", given.node.callerAddress}, {"peer_address", given.node.peerAddress}});
-            loop.run();
-            return 0;
-        },
-        [&log](const net_error &error) {
-            log.write(log_level::error, "start_failed", {{"detail", error.detail}});
-            return exitFailure;
-        },
-        [&log] {
-            log.write(log_level::error, "start_failed", {});
-            return exitFailure;
-        });
+    return runNode(loop, log, given.node.callerAddress, given.node.peerAddress, [&node] { return node.start(); });
 }
 
 int runWithPorts(const daemon_command_line &commandLine)
