Hold requests that arrive before the first configuration

Cause: a VM accepts connections 10 to 250 ms before it has read the configuration (several calls one after the other, 30 ms each way to the other region).

Change: a request that arrives before the configuration and the list of runners are read waits for both, at most a second and an eighth of its caller's timeout, 256 requests at most per VM. After that it is refused as before, with a reason that never says 401 or 404.

--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -70,6 +70,8 @@
 {
 public:
     virtual ~backend_picker() = default;
+    /// True once the platform's list of runners was read.
+    virtual bool isListRead() const = 0;
     /// Empty when no runner has capacity for the request.
     virtual std::optional<backend_choice> pick(const backend_requirements &requirements) = 0;
     /// True when a runner could serve the request, whether or not it has capacity now.
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -34,6 +34,7 @@
     {
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_table.applyList(*list, now(), actions);
+            m_isListRead = true;
             m_context->post(capacity_changed{});
         } else if (std::holds_alternative<timer_expired>(event)) {
             m_table.expire(now(), actions);
@@ -45,6 +46,11 @@
         return m_table.nextExpiry();
     }
 
+    bool isListRead() const override
+    {
+        return m_isListRead;
+    }
+
     std::optional<backend_choice> pick(const backend_requirements &requirements) override
     {
         const auto chosen = m_selector->select(m_table.findReady(requirements.service), requirements, now());
@@ -149,6 +155,7 @@
 
     plugin_context *m_context = nullptr;
     backend_table m_table;
+    bool m_isListRead = false;
     prefill_speed m_prefillSpeed;
     std::optional<backend_selector> m_selector;
 };
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -68,11 +68,34 @@
     return m_environment.time->steadyNow();
 }
 
+bool forward_flow::isConfigured() const
+{
+    return m_environment.routes->configuration() != nullptr && m_environment.backends->isListRead();
+}
+
 void forward_flow::receive(const forward_request &request, action_list &actions)
+{
+    if (!isConfigured() && m_startupQueue.push(request, now())) {
+        return;
+    }
+    admit(request, now(), actions);
+}
+
+void forward_flow::startWaitingForConfiguration(action_list &actions)
+{
+    if (m_startupQueue.size() == 0 || !isConfigured()) {
+        return;
+    }
+    for (const startup_queue::entry &each : m_startupQueue.takeAll()) {
+        admit(each.request, each.arrivedAt, actions);
+    }
+}
+
+void forward_flow::admit(const forward_request &request, steady_time arrivedAt, action_list &actions)
 {
     active_request created;
     created.request = request;
-    created.arrivedAt = now();
+    created.arrivedAt = arrivedAt;
     const auto found = m_environment.routes->match(request.host, request.path, request.callerKey);
     if (const auto *reason = std::get_if<refusal_reason>(&found)) {
         refuse(created, *reason, actions);
@@ -559,6 +582,9 @@
 
 void forward_flow::abandon(const request_id &request, action_list &actions)
 {
+    if (m_startupQueue.remove(request)) {
+        return;
+    }
     const auto found = m_activeRequests.find(request);
     if (found == m_activeRequests.end()) {
         return;
@@ -604,6 +630,10 @@
 
 void forward_flow::expire(action_list &actions)
 {
+    // Refused for what is missing: the configuration or a runner.
+    for (const startup_queue::entry &each : m_startupQueue.takeExpired(now())) {
+        admit(each.request, each.arrivedAt, actions);
+    }
     while (const std::optional<request_id> due = m_deadlines.takeExpired(now())) {
         const auto found = m_activeRequests.find(*due);
         if (found == m_activeRequests.end()) {
@@ -644,12 +674,12 @@
 
 steady_time forward_flow::nextDeadline() const
 {
-    return m_deadlines.next();
+    return std::min(m_deadlines.next(), m_startupQueue.nextDeadline());
 }
 
 std::size_t forward_flow::size() const
 {
-    return m_activeRequests.size();
+    return m_activeRequests.size() + m_startupQueue.size();
 }
 
 std::string forward_flow::describeOldest() const
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -7,6 +7,7 @@
 #include "plugins/forwarding/forward_queue.h"
 #include "plugins/forwarding/forwarding_settings.h"
 #include "plugins/forwarding/retry_budget.h"
+#include "plugins/forwarding/startup_queue.h"
 
 #include <set>
 #include <unordered_map>
@@ -20,7 +21,10 @@
 public:
     forward_flow(const forward_environment &environment, const forwarding_settings &settings);
 
+    /// Before the configuration and the list of runners are read, the request waits for them within bounds.
     void receive(const forward_request &request, action_list &actions);
+    /// Starts the requests that waited for the configuration and the list of runners, once both are read.
+    void startWaitingForConfiguration(action_list &actions);
     /// Cancels the request because the caller closed its connection.
     void abandon(const request_id &request, action_list &actions);
     /// This function and the three after it ignore attempts that have ended.
@@ -90,6 +94,9 @@
     };
 
     steady_time now() const;
+    /// The configuration and the list of runners are read.
+    bool isConfigured() const;
+    void admit(const forward_request &request, steady_time arrivedAt, action_list &actions);
     const engine_description *findEngine(const forward_configuration &configuration, const service_id &service) const;
     service_id chooseService(const forward_route &route, const std::string &session) const;
     void setModel(active_request &active, std::string model) const;
@@ -131,6 +138,7 @@
     forwarding_settings m_settings;
     retry_budget m_retryBudget;
     forward_queue m_queue;
+    startup_queue m_startupQueue;
     deadline_set m_deadlines;
     std::unordered_map<request_id, active_request> m_activeRequests;
     std::unordered_map<attempt_number, request_id> m_requestByAttempt;
