--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -150,6 +150,8 @@
     attempt_number attempt = 0;
     /// Empty when the event has no number.
     std::optional<std::uint64_t> number;
+    /// False for a block of comments, which shows no progress of the answer.
+    bool hasData = true;
     std::string text;
 };
 
--- a/src/libs/kernel/types.cpp
+++ b/src/libs/kernel/types.cpp
@@ -49,6 +49,7 @@
     {attempt_failure::connection_lost, "connection_lost"},
     {attempt_failure::failed, "failed"},
     {attempt_failure::cancelled, "cancelled"},
+    {attempt_failure::oversized, "oversized"},
 });
 
 constexpr auto backendStateNames = makeNameTable<backend_state>({
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -19,6 +19,8 @@
 // After a reused connection has failed, its address gets only new connections for this long. Dead idle connections to
 // the address are closed by then.
 constexpr std::chrono::seconds freshConnectionTime{4};
+// libcurl ends a transfer with an error when a callback returns fewer bytes than it was given.
+constexpr std::size_t abortTransfer = 0;
 constexpr std::string_view statusLinePrefix = "HTTP/";
 // Lower statuses (1xx) are those of interim answers.
 constexpr std::uint32_t firstFinalStatus = 200;
@@ -56,6 +58,8 @@
         bool hasStatus = false;
         http_response_head head;
         bool isHeadComplete = false;
+        std::size_t headBytes = 0;
+        std::size_t bodyBytes = 0;
         /// Whether libcurl has started to write the request to a connection.
         bool hasStartedSending = false;
         /// Cancelled from inside a callback of libcurl, and released after the callback has returned.
@@ -277,7 +281,14 @@
     {
         auto &current = *static_cast<transfer *>(pointer);
         const std::size_t bytes = size * count;
-        if (current.isCancelled || current.isHeadComplete) {
+        if (current.isCancelled) {
+            return bytes;
+        }
+        current.headBytes += bytes;
+        if (current.headBytes > current.request.maximumHeadBytes) {
+            return abortTransfer;
+        }
+        if (current.isHeadComplete) {
             return bytes;
         }
         current.owner->readHeaderLine(current, {data, bytes});
@@ -335,6 +346,11 @@
         if (current.isCancelled) {
             return bytes;
         }
+        current.bodyBytes += bytes;
+        const std::size_t limit = current.request.maximumBodyBytes;
+        if (limit > 0 && current.bodyBytes > limit) {
+            return abortTransfer;
+        }
         private_data &owner = *current.owner;
         owner.isInCallback = true;
         current.lastProgress = std::chrono::steady_clock::now();
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -53,6 +53,11 @@
     duration timeout{};
     /// The transfer ends as lost when nothing arrives for this long; zero for no limit.
     duration silenceLimit{};
+    /// The transfer ends as lost, and its connection is closed, when the header lines of the answer, those of interim
+    /// answers and of a trailer included, take more bytes.
+    std::size_t maximumHeadBytes = 64UL * 1024UL;
+    /// The same for the body; zero for no limit.
+    std::size_t maximumBodyBytes = 0;
 
     /// Called once, when status line and headers of the final answer have been read.
     std::function<void(const http_response_head &head)> onHead;
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "support/endless_server.h"
 
 #include <ace/Reactor.h>
 #include <boost/leaf/handle_errors.hpp>
@@ -153,6 +154,40 @@
 
 } // namespace
 
+// Guards against a server that sends header lines, interim answers or a body without end, which would fill the memory of
+// the VM: the transfer ends as lost and the connection is closed.
+TEST_CASE_METHOD(http_fixture, "http client, answer without end, closes the connection at its limit", "[net]")
+{
+    struct endless_answer {
+        std::string beginning;
+        std::string piece;
+    };
+    const std::array<endless_answer, 5> answers{{{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+                                                 {"HTTP/1.1 200 OK\r\nX-Field: ", "value"},
+                                                 {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Wait\r\n\r\n"},
+                                                 {"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x')},
+                                                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                                  "1\r\nx\r\n"}}};
+    // More than the limits and what the buffers of both sockets hold.
+    constexpr std::size_t sentBytesBound = 16UL * 1024UL * 1024UL;
+    std::uint16_t port = 23150;
+    for (const endless_answer &answer : answers) {
+        INFO(answer.beginning);
+        endless_server server("127.0.0.1", ++port, answer.beginning, answer.piece);
+        http_client_request request;
+        m_address = "127.0.0.1:" + std::to_string(port);
+        request.target = "/";
+        request.maximumBodyBytes = 100'000;
+        m_body.clear();
+        runRequest(std::move(request));
+        CHECK(m_result == transfer_result::lost);
+        CHECK(m_body.size() <= 100'000);
+        server.waitUntilEnded();
+        CHECK(server.isClosedByClient());
+        CHECK(server.bytesSent() < sentBytesBound);
+    }
+}
+
 // Guards against a body lost between server and client.
 TEST_CASE_METHOD(http_fixture, "http server, post, answers with the body", "[net]")
 {
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -368,6 +368,16 @@
         return;
     }
     active_request &active = *found;
+    const bool isKnown = received.number && active.lastEvent && *received.number <= *active.lastEvent;
+    // Neither is progress: a stalled runner could send them without end.
+    if (isKnown) {
+        return;
+    }
+    if (!received.hasData) {
+        beginStream(active, actions);
+        actions.push_back(send_stream_event{active.request.request, received.text});
+        return;
+    }
     if (active.hasStreamBegun) {
         active.longestPause = std::max(active.longestPause, now() - active.current->lastActivity);
     }
@@ -377,20 +387,13 @@
         m_environment.backends->firstEventReceived(received.attempt);
     }
     if (received.number && active.lastEvent) {
-        if (*received.number <= *active.lastEvent) {
-            return;
-        }
         if (*received.number != *active.lastEvent + 1) {
             cancelAttempt(active, attempt_end::lost, actions);
             retry(active, actions);
             return;
         }
     }
-    if (!active.hasStreamBegun) {
-        active.hasStreamBegun = true;
-        active.firstEventAt = now();
-        actions.push_back(begin_stream{active.request.request, active.current->answer});
-    }
+    beginStream(active, actions);
     if (received.number) {
         active.lastEvent = received.number;
     }
@@ -398,6 +401,16 @@
     scheduleDeadline(active);
 }
 
+void forward_flow::beginStream(active_request &active, action_list &actions)
+{
+    if (active.hasStreamBegun) {
+        return;
+    }
+    active.hasStreamBegun = true;
+    active.firstEventAt = now();
+    actions.push_back(begin_stream{active.request.request, active.current->answer});
+}
+
 void forward_flow::complete(const forward_completed &completed, action_list &actions)
 {
     active_request *found = findByAttempt(completed.attempt);
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -115,6 +115,7 @@
                       const backend_requirements &requirements,
                       const backend_choice &choice,
                       action_list &actions);
+    void beginStream(active_request &active, action_list &actions);
     void retry(active_request &active, action_list &actions);
     /// Cancels the attempt at a silent runner and starts another; keeps the attempt when no other runner can take the
     /// request now.
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -188,7 +188,7 @@
     action_list event(attempt_number attempt, std::uint64_t number)
     {
         action_list actions;
-        m_flow->receiveEvent({attempt, number, "data"}, actions);
+        m_flow->receiveEvent({attempt, number, true, "data"}, actions);
         return actions;
     }
 
@@ -385,6 +385,37 @@
     CHECK(one<start_forward>(moved).resumeAfter == 1);
 }
 
+// Guards against a stalled runner that holds a request with a comment or an old event now and then.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "stream, only comments and known events arrive, is moved like a silent one",
+                 "[forwarding]")
+{
+    const auto start = one<start_forward>(send("/stream/"));
+    success(start.attempt);
+    event(start.attempt, 1);
+    action_list actions = wait(std::chrono::milliseconds(250));
+    for (int round = 0; round < 6 && all<cancel_attempt>(actions).empty(); ++round) {
+        CHECK(event(start.attempt, 1).empty());
+        action_list comment;
+        m_flow->receiveEvent({start.attempt, std::nullopt, false, ": wait"}, comment);
+        one<send_stream_event>(comment);
+        actions = wait(std::chrono::milliseconds(250));
+    }
+    CHECK(one<cancel_attempt>(actions).attempt == start.attempt);
+    CHECK(one<start_forward>(actions).resumeAfter == 1);
+}
+
+// Guards against a sound stream that is cut because its events come slowly.
+TEST_CASE_METHOD(forward_flow_fixture, "stream, slow but steady events, stays at its runner", "[forwarding]")
+{
+    const auto start = one<start_forward>(send("/stream/"));
+    success(start.attempt);
+    for (std::uint64_t number = 1; number < 8; ++number) {
+        one<send_stream_event>(event(start.attempt, number));
+        CHECK(all<cancel_attempt>(wait(std::chrono::milliseconds(1200))).empty());
+    }
+}
+
 // Guards against cancelling a silent attempt although no other runner can continue the stream.
 TEST_CASE_METHOD(forward_flow_fixture, "stream, silent and no other runner free, stays at its runner", "[forwarding]")
 {
