Decide by cost, value and time whether the largest model answers

Cause: an answer of low confidence was requested again from the largest model whatever its prompt's length. The estimate missed it: prefill time was in proportion to the tokens, and answers that were dropped for a larger model were never measured. On the other side, weak answers to short prompts were kept although a better one is cheap.

Change: escalation_policy weighs cost and value of the answer, and rules out an answer that would be late by the prefill time at an idle runner and the current wait. prefill_speed has a quadratic part, the speed of an idle runner and the wait, and is measured when an answer begins.

--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -49,6 +49,14 @@
     duration expectedDelay{};
 };
 
+/// Expected times of a prompt at runners.
+struct prefill_estimate {
+    /// At a runner without other requests.
+    duration prefillTime{};
+    /// Usual wait for other requests, over all runners.
+    duration queueingDelay{};
+};
+
 /// How an attempt at a runner ended.
 enum class attempt_end {
     complete,
@@ -78,7 +86,9 @@
     virtual bool hasRunner(const backend_requirements &requirements) const = 0;
     virtual void
     attemptStarted(attempt_number attempt, const backend_requirements &requirements, const runner_id &runner) = 0;
-    virtual void firstEventReceived(attempt_number attempt) = 0;
+    /// The answer has begun, so the prompt is prefilled. Further calls for the same attempt have no effect.
+    virtual void answerBegan(attempt_number attempt) = 0;
+    virtual prefill_estimate estimatePrefill(const std::string &model, std::uint32_t promptTokens) const = 0;
     virtual void attemptEnded(attempt_number attempt, attempt_end end) = 0;
     virtual void noteLoad(const runner_id &runner, const reported_load &load) = 0;
 };
--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -155,13 +155,13 @@
     }
 }
 
-const attempt_load *backend_table::firstEvent(attempt_number attempt)
+const attempt_load *backend_table::answerBegan(attempt_number attempt)
 {
     const auto found = m_attempts.find(attempt);
-    if (found == m_attempts.end() || found->second.hasFirstEvent) {
+    if (found == m_attempts.end() || found->second.hasAnswerBegun) {
         return nullptr;
     }
-    found->second.hasFirstEvent = true;
+    found->second.hasAnswerBegun = true;
     if (backend_record *record = find(found->second.runner)) {
         record->prefillTime -= std::min(record->prefillTime, found->second.prefillTime);
     }
@@ -174,7 +174,7 @@
     if (found == m_attempts.end()) {
         return nullptr;
     }
-    firstEvent(attempt);
+    answerBegan(attempt);
     const attempt_load load = found->second;
     m_attempts.erase(found);
     backend_record *record = find(load.runner);
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -16,12 +16,12 @@
     runner_id runner;
     /// Tokens of prompt and answer in the runner's KV cache.
     std::uint64_t memoryTokens = 0;
-    /// Prompt tokens that the runner has to prefill before the first event, and the expected time for that.
+    /// Prompt tokens that the runner has to prefill before its answer begins, and the expected time for that.
     std::uint64_t prefillTokens = 0;
     duration prefillTime{};
     std::string model;
     steady_time startedAt;
-    bool hasFirstEvent = false;
+    bool hasAnswerBegun = false;
 };
 
 /// One runner with its load, failures and cached prompts as observed by this VM.
@@ -32,7 +32,7 @@
     /// Requests of this VM in progress.
     unsigned localRunning = 0;
     std::uint64_t memoryTokens = 0;
-    /// Time to prefill the prompts of this VM's requests that have no event yet.
+    /// Time to prefill the prompts of this VM's requests whose answers have not begun.
     duration prefillTime{};
     /// Requests of other VMs in progress.
     std::map<vm_id, unsigned> remoteRunningByVm;
@@ -68,9 +68,9 @@
     std::size_t size() const;
 
     void attemptStarted(attempt_number attempt, const attempt_load &load);
-    /// Records the first event of an attempt and returns the attempt's load; null when the first event was recorded
+    /// Records that the answer of an attempt has begun and returns the attempt's load; null when this was recorded
     /// before or the attempt has ended.
-    const attempt_load *firstEvent(attempt_number attempt);
+    const attempt_load *answerBegan(attempt_number attempt);
     /// Subtracts the attempt's load and returns its runner; null when the runner was removed or the attempt has ended
     /// before.
     backend_record *attemptEnded(attempt_number attempt);
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -90,14 +90,19 @@
         m_table.attemptStarted(attempt, load);
     }
 
-    void firstEventReceived(attempt_number attempt) override
+    void answerBegan(attempt_number attempt) override
     {
-        const attempt_load *load = m_table.firstEvent(attempt);
+        const attempt_load *load = m_table.answerBegan(attempt);
         if (load != nullptr && load->prefillTokens > 0) {
             m_prefillSpeed.addMeasurement(load->model, load->prefillTokens, now() - load->startedAt);
         }
     }
 
+    prefill_estimate estimatePrefill(const std::string &model, std::uint32_t promptTokens) const override
+    {
+        return {m_prefillSpeed.unloadedTimeFor(model, promptTokens), m_prefillSpeed.queueingDelay()};
+    }
+
     void attemptEnded(attempt_number attempt, attempt_end end) override
     {
         if (backend_record *record = m_table.attemptEnded(attempt)) {
--- a/src/plugins/backends/prefill_speed.h
+++ b/src/plugins/backends/prefill_speed.h
@@ -7,17 +7,30 @@
 
 namespace crocuslane {
 
-/// Estimates how fast runners prefill prompts, as a moving average per model of the times to the first event.
+/// Estimates how fast runners prefill prompts, from the times until their answers begin.
 class prefill_speed
 {
 public:
-    /// @p delay is the time to the first event; it includes prompts ahead at the runner.
+    /// @p delay is the time until the answer begins; it includes the wait for other requests at the runner.
     void addMeasurement(const std::string &model, std::uint64_t tokens, duration delay);
-    /// Time to prefill @p tokens.
+    /// Expected time to prefill @p tokens, with the usual wait.
     duration timeFor(const std::string &model, std::uint64_t tokens) const;
+    /// Time to prefill @p tokens at a runner without other requests.
+    duration unloadedTimeFor(const std::string &model, std::uint64_t tokens) const;
+    /// Moving average, over all models, of the delays beyond unloadedTimeFor().
+    duration queueingDelay() const;
 
 private:
-    std::unordered_map<std::string, double> m_tokensPerMillisecond;
+    /// In tokens per millisecond; see weightedTokens() in the source.
+    struct model_speed {
+        double usual;
+        double unloaded;
+    };
+
+    model_speed speedOf(const std::string &model) const;
+
+    std::unordered_map<std::string, model_speed> m_speeds;
+    double m_queueingSeconds = 0.0;
 };
 
 } // namespace crocuslane
--- a/src/plugins/backends/tests/backends_plugin_test.cpp
+++ b/src/plugins/backends/tests/backends_plugin_test.cpp
@@ -72,7 +72,7 @@
         requirements.promptTokens = promptTokens;
         for (int index = 0; index < count; ++index) {
             picker().attemptStarted(++m_attempts, requirements, runner_id(runner));
-            picker().firstEventReceived(m_attempts);
+            picker().answerBegan(m_attempts);
         }
     }
 
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -29,13 +29,6 @@
 constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
 // Assumed length of an answer when the caller states neither an estimate nor a maximum.
 constexpr std::uint32_t defaultOutputTokens = 200;
-// An answer of lower confidence (0 to 100) is requested again from the largest model. The required confidence falls as
-// the expected delay of that model grows, down to a minimum.
-constexpr double sufficientConfidence = 50.0;
-constexpr double minimumRequiredConfidence = 15.0;
-// After this fraction of the objective, the answer of a larger model would come too late.
-constexpr double latestEscalationFraction = 0.5;
-
 std::string milliseconds(duration value)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
@@ -76,6 +69,9 @@
 void forward_flow::receive(const forward_request &request, action_list &actions)
 {
     if (!isConfigured() && m_startupQueue.push(request, now())) {
+        const bool isRead = m_environment.routes->configuration() != nullptr;
+        actions.push_back(log_decision{
+            "request_held", request.request, {{"waits_for", isRead ? "list_of_runners" : "configuration"}}});
         return;
     }
     admit(request, now(), actions);
@@ -165,15 +161,12 @@
     }
     const std::string previousModel = active.model;
     const std::string &largest = active.route().models.back().value();
-    const steady_time latestEscalation =
-        active.arrivedAt + fromSeconds(latestEscalationFraction * toSeconds(active.route().objective));
-    if (previousModel == largest || *head.confidence >= sufficientConfidence || !mayRetry(active)
-        || now() > latestEscalation) {
+    if (previousModel == largest || !mayRetry(active)) {
         return false;
     }
     setModel(active, largest);
     const std::optional<backend_choice> choice = pickForRetry(active);
-    if (!choice || *head.confidence >= requiredConfidence(active, *choice)
+    if (!choice || !shouldEscalate(escalationEstimate(active, *choice))
         || !m_retryBudget.tryTake(active.service, vmCount(), now())) {
         setModel(active, previousModel);
         return false;
@@ -188,10 +181,19 @@
     return true;
 }
 
-double forward_flow::requiredConfidence(const active_request &active, const backend_choice &choice) const
+escalation_estimate forward_flow::escalationEstimate(const active_request &active, const backend_choice &choice) const
 {
-    const double delay = toSeconds(choice.expectedDelay) / toSeconds(active.route().objective);
-    return std::max(sufficientConfidence * (1.0 - delay), minimumRequiredConfidence);
+    const prefill_estimate prefill = m_environment.backends->estimatePrefill(active.model, active.request.promptTokens);
+    escalation_estimate estimate;
+    estimate.confidence = active.confidence.value_or(0);
+    estimate.promptTokens = active.request.promptTokens;
+    estimate.outputTokens = outputTokensOf(active.request);
+    estimate.elapsed = now() - active.arrivedAt;
+    estimate.objective = active.route().objective;
+    estimate.expectedDelay = choice.expectedDelay;
+    estimate.prefillTime = prefill.prefillTime;
+    estimate.queueingDelay = prefill.queueingDelay;
+    return estimate;
 }
 
 version_rule forward_flow::versionRule(const active_request &active) const
@@ -339,6 +341,9 @@
         retry(active, actions);
         return;
     }
+    if (isSuccess(received.head.status)) {
+        m_environment.backends->answerBegan(received.attempt);
+    }
     if (!escalate(active, actions)) {
         scheduleDeadline(active);
     }
@@ -384,7 +389,6 @@
     active.current->lastActivity = now();
     if (!active.current->hasEvent) {
         active.current->hasEvent = true;
-        m_environment.backends->firstEventReceived(received.attempt);
     }
     if (received.number && active.lastEvent) {
         if (*received.number != *active.lastEvent + 1) {
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -3,6 +3,7 @@
 #include "base/deadline_set.h"
 #include "base/random_source.h"
 #include "kernel/event.h"
+#include "plugins/forwarding/escalation_policy.h"
 #include "plugins/forwarding/forward_environment.h"
 #include "plugins/forwarding/forward_queue.h"
 #include "plugins/forwarding/forwarding_settings.h"
@@ -103,8 +104,8 @@
     /// Replaces an answer of low confidence by an attempt with the largest model, provided that the caller has received
     /// none of the answer. Returns false when the answer is kept.
     bool escalate(active_request &active, action_list &actions);
-    /// Confidence from which an answer is kept instead of starting an attempt at the runner @p choice.
-    double requiredConfidence(const active_request &active, const backend_choice &choice) const;
+    /// @p choice is the runner that would run the larger model.
+    escalation_estimate escalationEstimate(const active_request &active, const backend_choice &choice) const;
     version_rule versionRule(const active_request &active) const;
     /// A runner that can take another attempt now.
     std::optional<backend_choice> pickForRetry(const active_request &active) const;
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -85,10 +85,15 @@
         attempts[attempt] = runner.value();
     }
 
-    void firstEventReceived(attempt_number /*attempt*/) override
+    void answerBegan(attempt_number /*attempt*/) override
     {
     }
 
+    prefill_estimate estimatePrefill(const std::string & /*model*/, std::uint32_t /*promptTokens*/) const override
+    {
+        return estimate;
+    }
+
     void attemptEnded(attempt_number attempt, attempt_end end) override
     {
         busy.erase(attempts[attempt]);
@@ -106,6 +111,7 @@
     std::vector<attempt_end> ends;
     std::string lastModel;
     duration expectedDelay = std::chrono::milliseconds(10);
+    prefill_estimate estimate{std::chrono::milliseconds(10), std::chrono::milliseconds(5)};
 };
 
 class forward_flow_fixture
@@ -230,7 +236,7 @@
                  "[forwarding]")
 {
     m_routes.content = nullptr;
-    CHECK(send("/look/").empty());
+    CHECK(all<refuse_forward>(send("/look/")).empty());
     CHECK(m_flow->size() == 1);
     CHECK(refusal(wait(std::chrono::milliseconds(1000))) == refusal_reason::no_configuration);
     CHECK(m_flow->size() == 0);
@@ -244,7 +250,7 @@
 {
     const std::shared_ptr<forward_configuration> content = std::exchange(m_routes.content, nullptr);
     m_backends.isRead = false;
-    CHECK(send("/look/").empty());
+    CHECK(one<log_decision>(send("/look/")).event == "request_held");
     CHECK(wait(std::chrono::milliseconds(200)).empty());
     action_list actions;
     m_routes.content = content;
@@ -535,6 +541,17 @@
     one<start_forward>(success(lowConfidence.attempt, 5));
 }
 
+// Guards against a long prompt that blocks a runner for seconds although its answer would be late in any case.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "model, low confidence but prefill longer than the objective, keeps the answer",
+                 "[forwarding]")
+{
+    m_backends.estimate.prefillTime = std::chrono::milliseconds(1200);
+    const auto first = one<start_forward>(send("/model/"));
+    CHECK(all<start_forward>(success(first.attempt, 0)).empty());
+    one<begin_stream>(event(first.attempt, 1));
+}
+
 // Guards against a second answer mixed into one that the caller already receives.
 TEST_CASE_METHOD(forward_flow_fixture, "model, events already sent to the caller, is not changed", "[forwarding]")
 {
