--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -154,20 +154,20 @@
 
 } // namespace
 
-// Guards against a server that sends header lines, interim answers or a body without end, which would fill the memory of
-// the VM: the transfer ends as lost and the connection is closed.
+// Guards against a server that sends header lines, interim answers or a body without end, which would fill the memory
+// of the VM: the transfer ends as lost and the connection is closed.
 TEST_CASE_METHOD(http_fixture, "http client, answer without end, closes the connection at its limit", "[net]")
 {
     struct endless_answer {
         std::string beginning;
         std::string piece;
     };
-    const std::array<endless_answer, 5> answers{{{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
-                                                 {"HTTP/1.1 200 OK\r\nX-Field: ", "value"},
-                                                 {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Wait\r\n\r\n"},
-                                                 {"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x')},
-                                                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-                                                  "1\r\nx\r\n"}}};
+    const std::array<endless_answer, 5> answers{
+        {{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+         {"HTTP/1.1 200 OK\r\nX-Field: ", "value"},
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Wait\r\n\r\n"},
+         {"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x')},
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"}}};
     // More than the limits and what the buffers of both sockets hold.
     constexpr std::size_t sentBytesBound = 16UL * 1024UL * 1024UL;
     std::uint16_t port = 23150;
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -56,19 +56,20 @@
 
     void handle(const event &event, action_list &actions) override
     {
-        std::visit(overloaded{[&](const forward_received &received) { receive(received.request, actions); },
-                              [&](const request_abandoned &abandoned) { m_flow->abandon(abandoned.request, actions); },
-                              [&](const forward_head_received &received) { m_flow->receiveHead(received, actions); },
-                              [&](const forward_event_received &received) { m_flow->receiveEvent(received, actions); },
-                              [&](const forward_completed &completed) { m_flow->complete(completed, actions); },
-                              [&](const forward_failed &failed) { m_flow->fail(failed, actions); },
-                              [&](const forward_configuration_read &) { m_flow->startWaitingForConfiguration(actions); },
-                              [&](const backend_list_read &) { m_flow->startWaitingForConfiguration(actions); },
-                              [&](const capacity_changed &) { m_flow->dispatchWaiting(actions); },
-                              [&](const timer_expired &) { m_flow->expire(actions); },
-                              [&](const stop_requested &) { m_stopRequestedAt = m_context->time.steadyNow(); },
-                              [](const auto &) {}},
-                   event);
+        std::visit(
+            overloaded{[&](const forward_received &received) { receive(received.request, actions); },
+                       [&](const request_abandoned &abandoned) { m_flow->abandon(abandoned.request, actions); },
+                       [&](const forward_head_received &received) { m_flow->receiveHead(received, actions); },
+                       [&](const forward_event_received &received) { m_flow->receiveEvent(received, actions); },
+                       [&](const forward_completed &completed) { m_flow->complete(completed, actions); },
+                       [&](const forward_failed &failed) { m_flow->fail(failed, actions); },
+                       [&](const forward_configuration_read &) { m_flow->startWaitingForConfiguration(actions); },
+                       [&](const backend_list_read &) { m_flow->startWaitingForConfiguration(actions); },
+                       [&](const capacity_changed &) { m_flow->dispatchWaiting(actions); },
+                       [&](const timer_expired &) { m_flow->expire(actions); },
+                       [&](const stop_requested &) { m_stopRequestedAt = m_context->time.steadyNow(); },
+                       [](const auto &) {}},
+            event);
     }
 
     steady_time nextDeadline() const override
