--- a/src/libs/kernel/types.h
+++ b/src/libs/kernel/types.h
@@ -114,7 +114,7 @@
     /// The backend server answered with an error after running the request.
     failed,
     cancelled,
-    /// The answer, its head or one of its events was longer than the limit.
+    /// The answer or one of its events was longer than the limit.
     oversized,
 };
 
