Show with tests that a new version passes without evidence

They fail on this code: a cutover is recorded with no answer of the new version, no session reaches it before, two fifths slow answers are no regression, and nine tenths failures aren't either where the old version fails two fifths for another reason.

--- a/src/plugins/rollouts/tests/rollout_test.cpp
+++ b/src/plugins/rollouts/tests/rollout_test.cpp
@@ -150,3 +150,27 @@
     advance(std::chrono::seconds(1));
     CHECK(phaseToRecord());
 }
+
+// Guards against a new version that gets all requests although nothing is known about it.
+TEST_CASE_METHOD(rollout_fixture, "cutover, no answer of the new version, is not recorded", "[rollouts][!shouldfail]")
+{
+    m_rollout->applyRecord(rollout_phase::canary, m_clock.steadyNow());
+    countNewVersion(200, "session");
+    observe("v1", 200, false);
+    advance(std::chrono::milliseconds(13'500));
+    CHECK_FALSE(phaseToRecord());
+}
+
+// Guards against a canary phase without any request of the new version where all requests belong to sessions.
+TEST_CASE_METHOD(rollout_fixture,
+                 "canary, sessions in the second half of the time, use the new version in part",
+                 "[rollouts][!shouldfail]")
+{
+    advance(std::chrono::milliseconds(10'500));
+    int exposed = 0;
+    for (int index = 0; index < 400; ++index) {
+        exposed += usesNewVersion("session " + std::to_string(index)) ? 1 : 0;
+    }
+    CHECK(exposed >= 20);
+    CHECK(exposed <= 80);
+}
--- a/src/plugins/rollouts/tests/version_comparison_test.cpp
+++ b/src/plugins/rollouts/tests/version_comparison_test.cpp
@@ -68,3 +68,28 @@
     add(true, 20, false, 290, 10'000);
     CHECK_FALSE(m_comparison.hasRegressed());
 }
+
+// Guards against a version of which a part of the answers is several times slower: its median is as before.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "comparison, two fifths of the answers eight times slower, has regressed",
+                 "[rollouts][!shouldfail]")
+{
+    add(false, 100, false, 100);
+    for (int index = 0; index < 8; ++index) {
+        add(true, 3, false, 100);
+        add(true, 2, false, 800);
+    }
+    CHECK(m_comparison.hasRegressed());
+}
+
+// Guards against a bad version that passes because another fault makes the old version fail, too.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "comparison, old version fails two fifths and the new one nine tenths, has regressed",
+                 "[rollouts][!shouldfail]")
+{
+    add(false, 60, false, 100);
+    add(false, 40, true, 100);
+    add(true, 3, false, 100);
+    add(true, 27, true, 100);
+    CHECK(m_comparison.hasRegressed());
+}
