Share the evidence on a new version between entry VMs

A bad version passed at large deployments: each VM judged by its own answers and needs three failures or six slow answers, while the canary phase gives one VM of ninety about one request. Only after the cutover did single VMs notice, the others went on.

Counts of answers, failures and slow answers by route go from VM to VM over the peer connections, at most every 300 ms, and only while the new version gets answers; each VM judges the sum. In the test, one failure at each of ten VMs of sixty stops the new version at all of them within two seconds; without the exchange none of the sixty notices (the case failed with vmsWithoutNewVersion() == 0 before the messages were added).

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -126,6 +126,46 @@
     std::uint32_t unpackedBytes = 0;
 };
 
+/// Answers of software versions to requests of one route.
+struct version_counts {
+    std::uint32_t answers = 0;
+    std::uint32_t failures = 0;
+    /// Answers that took several times as long as usual on their route.
+    std::uint32_t slow = 0;
+
+    version_counts &operator+=(const version_counts &other)
+    {
+        answers += other.answers;
+        failures += other.failures;
+        slow += other.slow;
+        return *this;
+    }
+};
+
+/// Answers that one entry VM has received during a roll-out.
+struct version_evidence {
+    struct route_counts {
+        /// Hash of the route's name.
+        std::uint32_t route = 0;
+        version_counts newVersion;
+        version_counts oldVersions;
+    };
+
+    vm_id vm;
+    std::uint64_t incarnation = 0;
+    /// The highest counter of an incarnation is the newest.
+    std::uint64_t counter = 0;
+    service_id service;
+    /// rollout_order::position
+    std::uint64_t orderPosition = 0;
+    std::vector<route_counts> routes;
+};
+
+/// Evidence of several entry VMs, relayed from VM to VM.
+struct version_evidence_list {
+    std::vector<version_evidence> entries;
+};
+
 using peer_message = std::variant<heartbeat,
                                   exchange_digest,
                                   exchange_delta,
@@ -134,6 +174,7 @@
                                   bill_copy_released,
                                   configuration_fetch,
                                   configuration_text,
-                                  stream_part>;
+                                  stream_part,
+                                  version_evidence_list>;
 
 } // namespace crocuslane
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -243,6 +243,44 @@
                                            message.unpackedBytes));
 }
 
+wire::version_route_counts encodeCounts(const version_evidence::route_counts &counts)
+{
+    const auto count = [](std::uint32_t value) { return saturated<std::uint16_t>(value); };
+    return {counts.route,
+            count(counts.newVersion.answers),
+            count(counts.newVersion.failures),
+            count(counts.newVersion.slow),
+            count(counts.oldVersions.answers),
+            count(counts.oldVersions.failures),
+            count(counts.oldVersions.slow)};
+}
+
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer &names, const version_evidence_list &message)
+{
+    std::vector<Offset<wire::version_evidence>> entries;
+    for (const version_evidence &entry : message.entries) {
+        BOOST_LEAF_AUTO(vm, names.add(entry.vm.value()));
+        BOOST_LEAF_AUTO(service, names.add(entry.service.value()));
+        std::vector<wire::version_route_counts> routes;
+        for (const version_evidence::route_counts &counts : entry.routes) {
+            routes.push_back(encodeCounts(counts));
+        }
+        const auto routeVector = builder.CreateVectorOfStructs(routes);
+        entries.push_back(wire::Createversion_evidence(builder,
+                                                       vm,
+                                                       entry.incarnation,
+                                                       saturated<std::uint32_t>(entry.counter),
+                                                       service,
+                                                       entry.orderPosition,
+                                                       routeVector));
+    }
+    const auto nameList = names.write(builder);
+    const auto entryVector = builder.CreateVector(entries);
+    return encoded(wire::message::version_evidence_list,
+                   wire::Createversion_evidence_list(builder, nameList, entryVector));
+}
+
 // Treats an absent vector as empty.
 template<typename element>
 std::size_t sizeOf(const flatbuffers::Vector<element> *vector)
@@ -443,6 +481,33 @@
     return part;
 }
 
+version_evidence::route_counts decodeCounts(const wire::version_route_counts &counts)
+{
+    return {counts.route(),
+            {counts.new_answers(), counts.new_failures(), counts.new_slow()},
+            {counts.old_answers(), counts.old_failures(), counts.old_slow()}};
+}
+
+leaf::result<peer_message> decode(name_list_reader &names, const wire::version_evidence_list &message)
+{
+    if (auto appended = names.append(*message.names()); !appended) {
+        return appended.error();
+    }
+    version_evidence_list list;
+    for (std::size_t index = 0; index < sizeOf(message.entries()); ++index) {
+        const wire::version_evidence &entry = *message.entries()->Get(static_cast<flatbuffers::uoffset_t>(index));
+        BOOST_LEAF_AUTO(vm, names.at(entry.vm()));
+        BOOST_LEAF_AUTO(service, names.at(entry.service()));
+        version_evidence evidence{
+            vm_id(vm), entry.incarnation(), entry.counter(), service_id(service), entry.order_position(), {}};
+        for (std::size_t route = 0; route < sizeOf(entry.routes()); ++route) {
+            evidence.routes.push_back(decodeCounts(*entry.routes()->Get(static_cast<flatbuffers::uoffset_t>(route))));
+        }
+        list.entries.push_back(std::move(evidence));
+    }
+    return list;
+}
+
 leaf::result<peer_message> decodeMessage(name_list_reader &names, const wire::envelope &envelope)
 {
     switch (envelope.message_type()) {
@@ -464,6 +529,8 @@
         return decode(names, *envelope.message_as_configuration_text());
     case wire::message::stream_part:
         return decode(names, *envelope.message_as_stream_part());
+    case wire::message::version_evidence_list:
+        return decode(names, *envelope.message_as_version_evidence_list());
     case wire::message::NONE:
         break;
     }
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -63,6 +63,14 @@
 struct stream_record_list;
 struct stream_record_listBuilder;
 
+struct version_route_counts;
+
+struct version_evidence;
+struct version_evidenceBuilder;
+
+struct version_evidence_list;
+struct version_evidence_listBuilder;
+
 struct envelope;
 struct envelopeBuilder;
 
@@ -80,11 +88,12 @@
   configuration_fetch = 7,
   configuration_text = 8,
   stream_part = 9,
+  version_evidence_list = 10,
   MIN = NONE,
-  MAX = stream_part
+  MAX = version_evidence_list
 };
 
-inline const message (&EnumValuesmessage())[10] {
+inline const message (&EnumValuesmessage())[11] {
   static const message values[] = {
     message::NONE,
     message::heartbeat,
@@ -95,13 +104,14 @@
     message::bill_copy_released,
     message::configuration_fetch,
     message::configuration_text,
-    message::stream_part
+    message::stream_part,
+    message::version_evidence_list
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "heartbeat",
     "exchange_digest",
@@ -112,13 +122,14 @@
     "configuration_fetch",
     "configuration_text",
     "stream_part",
+    "version_evidence_list",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::stream_part)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::version_evidence_list)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -163,6 +174,10 @@
   static const message enum_value = message::stream_part;
 };
 
+template<> struct messageTraits<crocuslane::wire::version_evidence_list> {
+  static const message enum_value = message::version_evidence_list;
+};
+
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
@@ -360,6 +375,64 @@
   using type = digest_entry;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) version_route_counts FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t route_;
+  uint16_t new_answers_;
+  uint16_t new_failures_;
+  uint16_t new_slow_;
+  uint16_t old_answers_;
+  uint16_t old_failures_;
+  uint16_t old_slow_;
+
+ public:
+  struct Traits;
+  version_route_counts()
+      : route_(0),
+        new_answers_(0),
+        new_failures_(0),
+        new_slow_(0),
+        old_answers_(0),
+        old_failures_(0),
+        old_slow_(0) {
+  }
+  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _new_slow, uint16_t _old_answers, uint16_t _old_failures, uint16_t _old_slow)
+      : route_(flatbuffers::EndianScalar(_route)),
+        new_answers_(flatbuffers::EndianScalar(_new_answers)),
+        new_failures_(flatbuffers::EndianScalar(_new_failures)),
+        new_slow_(flatbuffers::EndianScalar(_new_slow)),
+        old_answers_(flatbuffers::EndianScalar(_old_answers)),
+        old_failures_(flatbuffers::EndianScalar(_old_failures)),
+        old_slow_(flatbuffers::EndianScalar(_old_slow)) {
+  }
+  uint32_t route() const {
+    return flatbuffers::EndianScalar(route_);
+  }
+  uint16_t new_answers() const {
+    return flatbuffers::EndianScalar(new_answers_);
+  }
+  uint16_t new_failures() const {
+    return flatbuffers::EndianScalar(new_failures_);
+  }
+  uint16_t new_slow() const {
+    return flatbuffers::EndianScalar(new_slow_);
+  }
+  uint16_t old_answers() const {
+    return flatbuffers::EndianScalar(old_answers_);
+  }
+  uint16_t old_failures() const {
+    return flatbuffers::EndianScalar(old_failures_);
+  }
+  uint16_t old_slow() const {
+    return flatbuffers::EndianScalar(old_slow_);
+  }
+};
+FLATBUFFERS_STRUCT_END(version_route_counts, 16);
+
+struct version_route_counts::Traits {
+  using type = version_route_counts;
+};
+
 struct name_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef name_listBuilder Builder;
   struct Traits;
@@ -1585,6 +1658,195 @@
       records__);
 }
 
+struct version_evidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef version_evidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VM = 4,
+    VT_INCARNATION = 6,
+    VT_COUNTER = 8,
+    VT_SERVICE = 10,
+    VT_ORDER_POSITION = 12,
+    VT_ROUTES = 14
+  };
+  uint16_t vm() const {
+    return GetField<uint16_t>(VT_VM, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint32_t counter() const {
+    return GetField<uint32_t>(VT_COUNTER, 0);
+  }
+  uint16_t service() const {
+    return GetField<uint16_t>(VT_SERVICE, 0);
+  }
+  uint64_t order_position() const {
+    return GetField<uint64_t>(VT_ORDER_POSITION, 0);
+  }
+  const flatbuffers::Vector<const crocuslane::wire::version_route_counts *> *routes() const {
+    return GetPointer<const flatbuffers::Vector<const crocuslane::wire::version_route_counts *> *>(VT_ROUTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_VM, 2) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COUNTER, 4) &&
+           VerifyField<uint16_t>(verifier, VT_SERVICE, 2) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_POSITION, 8) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct version_evidenceBuilder {
+  typedef version_evidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_vm(uint16_t vm) {
+    fbb_.AddElement<uint16_t>(version_evidence::VT_VM, vm, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(version_evidence::VT_INCARNATION, incarnation, 0);
+  }
+  void add_counter(uint32_t counter) {
+    fbb_.AddElement<uint32_t>(version_evidence::VT_COUNTER, counter, 0);
+  }
+  void add_service(uint16_t service) {
+    fbb_.AddElement<uint16_t>(version_evidence::VT_SERVICE, service, 0);
+  }
+  void add_order_position(uint64_t order_position) {
+    fbb_.AddElement<uint64_t>(version_evidence::VT_ORDER_POSITION, order_position, 0);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::version_route_counts *>> routes) {
+    fbb_.AddOffset(version_evidence::VT_ROUTES, routes);
+  }
+  explicit version_evidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<version_evidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<version_evidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<version_evidence> Createversion_evidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t vm = 0,
+    uint64_t incarnation = 0,
+    uint32_t counter = 0,
+    uint16_t service = 0,
+    uint64_t order_position = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::version_route_counts *>> routes = 0) {
+  version_evidenceBuilder builder_(_fbb);
+  builder_.add_order_position(order_position);
+  builder_.add_incarnation(incarnation);
+  builder_.add_routes(routes);
+  builder_.add_counter(counter);
+  builder_.add_service(service);
+  builder_.add_vm(vm);
+  return builder_.Finish();
+}
+
+struct version_evidence::Traits {
+  using type = version_evidence;
+  static auto constexpr Create = Createversion_evidence;
+};
+
+inline flatbuffers::Offset<version_evidence> Createversion_evidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t vm = 0,
+    uint64_t incarnation = 0,
+    uint32_t counter = 0,
+    uint16_t service = 0,
+    uint64_t order_position = 0,
+    const std::vector<crocuslane::wire::version_route_counts> *routes = nullptr) {
+  auto routes__ = routes ? _fbb.CreateVectorOfStructs<crocuslane::wire::version_route_counts>(*routes) : 0;
+  return crocuslane::wire::Createversion_evidence(
+      _fbb,
+      vm,
+      incarnation,
+      counter,
+      service,
+      order_position,
+      routes__);
+}
+
+struct version_evidence_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef version_evidence_listBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAMES = 4,
+    VT_ENTRIES = 6
+  };
+  const crocuslane::wire::name_list *names() const {
+    return GetPointer<const crocuslane::wire::name_list *>(VT_NAMES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::version_evidence>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::version_evidence>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NAMES) &&
+           verifier.VerifyTable(names()) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct version_evidence_listBuilder {
+  typedef version_evidence_list Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_names(flatbuffers::Offset<crocuslane::wire::name_list> names) {
+    fbb_.AddOffset(version_evidence_list::VT_NAMES, names);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::version_evidence>>> entries) {
+    fbb_.AddOffset(version_evidence_list::VT_ENTRIES, entries);
+  }
+  explicit version_evidence_listBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<version_evidence_list> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<version_evidence_list>(end);
+    fbb_.Required(o, version_evidence_list::VT_NAMES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<version_evidence_list> Createversion_evidence_list(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocuslane::wire::name_list> names = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::version_evidence>>> entries = 0) {
+  version_evidence_listBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  builder_.add_names(names);
+  return builder_.Finish();
+}
+
+struct version_evidence_list::Traits {
+  using type = version_evidence_list;
+  static auto constexpr Create = Createversion_evidence_list;
+};
+
+inline flatbuffers::Offset<version_evidence_list> Createversion_evidence_listDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocuslane::wire::name_list> names = 0,
+    const std::vector<flatbuffers::Offset<crocuslane::wire::version_evidence>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<crocuslane::wire::version_evidence>>(*entries) : 0;
+  return crocuslane::wire::Createversion_evidence_list(
+      _fbb,
+      names,
+      entries__);
+}
+
 struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef envelopeBuilder Builder;
   struct Traits;
@@ -1646,6 +1908,9 @@
   const crocuslane::wire::stream_part *message_as_stream_part() const {
     return message_type() == crocuslane::wire::message::stream_part ? static_cast<const crocuslane::wire::stream_part *>(message()) : nullptr;
   }
+  const crocuslane::wire::version_evidence_list *message_as_version_evidence_list() const {
+    return message_type() == crocuslane::wire::message::version_evidence_list ? static_cast<const crocuslane::wire::version_evidence_list *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL_VERSION, 2) &&
@@ -1697,6 +1962,10 @@
   return message_as_stream_part();
 }
 
+template<> inline const crocuslane::wire::version_evidence_list *envelope::message_as<crocuslane::wire::version_evidence_list>() const {
+  return message_as_version_evidence_list();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1931,6 +2200,10 @@
       auto ptr = reinterpret_cast<const crocuslane::wire::stream_part *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::version_evidence_list: {
+      auto ptr = reinterpret_cast<const crocuslane::wire::version_evidence_list *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -117,6 +117,17 @@
     REQUIRE(packed.records.size() == 2);
     CHECK((*packed.records[0].value == *sent.records[0].value && !packed.records[1].value));
     CHECK((packed.packedRecords == sent.packedRecords && packed.packedRecords.size() < 2000));
+
+    const version_evidence evidence{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, 1}, {70'000, 4, 3}}}};
+    const auto list = std::get<version_evidence_list>(roundTrip(version_evidence_list{{evidence}}));
+    REQUIRE((list.entries.size() == 1 && list.entries[0].routes.size() == 1));
+    const version_evidence &entry = list.entries[0];
+    CHECK((entry.vm == evidence.vm && entry.incarnation == 8 && entry.counter == 12));
+    CHECK((entry.service == evidence.service && entry.orderPosition == 6));
+    const version_evidence::route_counts &counts = entry.routes[0];
+    CHECK((counts.route == 77 && counts.newVersion.answers == 5 && counts.newVersion.failures == 2));
+    CHECK((counts.newVersion.slow == 1 && counts.oldVersions.failures == 4 && counts.oldVersions.slow == 3));
+    CHECK(counts.oldVersions.answers == 65'535);
 }
 
 // Guards against a part that exhausts the memory of its receiver, and against accepting damaged compressed records.
--- /dev/null
+++ b/src/plugins/rollouts/evidence_exchange.cpp
@@ -0,0 +1,90 @@
+#include "plugins/rollouts/evidence_exchange.h"
+
+#include <algorithm>
+
+namespace crocuslane {
+
+namespace {
+
+// Keeps a message below the size limit of a frame; the remaining entries follow in the next rounds.
+constexpr std::size_t maximumEntriesPerMessage = 200;
+constexpr std::size_t maximumEntries = 10'000;
+
+} // namespace
+
+// An order replaces the one before it. A VM that was restarted counts from zero again; incarnations grow with time.
+evidence_exchange::entry_version evidence_exchange::versionOf(const version_evidence &entry)
+{
+    return {entry.orderPosition, entry.incarnation, entry.counter};
+}
+
+bool evidence_exchange::store(const version_evidence &entry)
+{
+    const key id{entry.service, entry.vm};
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return m_entries.size() < maximumEntries && m_entries.emplace(id, entry).second;
+    }
+    if (versionOf(found->second) >= versionOf(entry)) {
+        return false;
+    }
+    found->second = entry;
+    return true;
+}
+
+std::vector<version_evidence> evidence_exchange::receive(const vm_id &peer, const version_evidence_list &list)
+{
+    std::vector<version_evidence> added;
+    for (const version_evidence &entry : list.entries) {
+        if (store(entry)) {
+            added.push_back(entry);
+        }
+        const key id{entry.service, entry.vm};
+        if (m_entries.contains(id)) {
+            entry_version &known = m_versionsByPeer[peer][id];
+            known = std::max(known, versionOf(entry));
+        }
+    }
+    return added;
+}
+
+void evidence_exchange::connected(const vm_id &peer)
+{
+    m_versionsByPeer.erase(peer);
+}
+
+void evidence_exchange::runRound(const std::vector<vm_id> &peers, action_list &actions)
+{
+    std::erase_if(m_versionsByPeer, [&peers](const auto &each) {
+        return std::find(peers.begin(), peers.end(), each.first) == peers.end();
+    });
+    for (const vm_id &peer : peers) {
+        version_evidence_list list;
+        auto &known = m_versionsByPeer[peer];
+        for (const auto &[id, entry] : m_entries) {
+            const bool isNewer = versionOf(entry) > known[id];
+            if (!isNewer || id.vm == peer || list.entries.size() == maximumEntriesPerMessage) {
+                continue;
+            }
+            known[id] = versionOf(entry);
+            list.entries.push_back(entry);
+        }
+        if (!list.entries.empty()) {
+            actions.push_back(send_to_peer{peer, std::move(list)});
+        }
+    }
+}
+
+std::vector<version_evidence>
+evidence_exchange::entriesOf(const service_id &service, std::uint64_t orderPosition, const vm_id &self) const
+{
+    std::vector<version_evidence> entries;
+    for (const auto &[id, entry] : m_entries) {
+        if (id.service == service && entry.orderPosition == orderPosition && id.vm != self) {
+            entries.push_back(entry);
+        }
+    }
+    return entries;
+}
+
+} // namespace crocuslane
--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -137,10 +137,31 @@
     if (isFinal()) {
         return;
     }
-    m_comparison.add(observation, observation.version == m_order.target);
+    const bool isNew = observation.version == m_order.target;
+    m_comparison.add(observation, isNew);
+    m_newObservations += isNew ? 1 : 0;
     m_hasRegressed = m_hasRegressed || m_comparison.hasRegressed();
 }
 
+void rollout::addEvidence(const version_evidence &evidence)
+{
+    if (isFinal()) {
+        return;
+    }
+    m_comparison.setEvidence(evidence);
+    m_hasRegressed = m_hasRegressed || m_comparison.hasRegressed();
+}
+
+std::vector<version_evidence::route_counts> rollout::ownCounts() const
+{
+    return m_comparison.ownCounts();
+}
+
+std::uint64_t rollout::newObservations() const
+{
+    return m_newObservations;
+}
+
 std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle) const
 {
     if (isFinal() || now < m_nextRecordAt) {
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -26,6 +26,12 @@
     /// Counts an attempt for the exposure of the new version.
     void attemptStarted(const std::string &version, bool isFirst);
     void observe(const version_observation &observation);
+    /// Adds what another VM observed.
+    void addEvidence(const version_evidence &evidence);
+    /// Answers that this VM received since the order.
+    std::vector<version_evidence::route_counts> ownCounts() const;
+    /// Number of observations of the new version; grows with each one.
+    std::uint64_t newObservations() const;
     /// The phase that this VM should record now; nothing while the current phase continues.
     std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle) const;
     /// Earliest time at which phaseToRecord() may return a phase; the maximum once the phase is final.
@@ -56,6 +62,7 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_canaryRequests = 0;
     version_comparison m_comparison;
+    std::uint64_t m_newObservations = 0;
     bool m_hasRegressed = false;
 };
 
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -1,4 +1,5 @@
 #include "kernel/plugin.h"
+#include "plugins/rollouts/evidence_exchange.h"
 #include "plugins/rollouts/rollout.h"
 #include "services/member_view.h"
 #include "services/runner_use_exchange.h"
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds checkInterval{100};
+constexpr std::chrono::milliseconds exchangeInterval{300};
 
 } // namespace
 
@@ -49,7 +51,14 @@
             }
         } else if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_backends = list->entries;
+        } else if (const auto *received = std::get_if<peer_message_received>(&event)) {
+            if (const auto *evidence = std::get_if<version_evidence_list>(&received->message)) {
+                applyEvidence(received->peer, *evidence);
+            }
+        } else if (const auto *connected = std::get_if<peer_connected>(&event)) {
+            m_evidence.connected(connected->peer);
         } else if (std::holds_alternative<timer_expired>(event)) {
+            exchangeEvidence(actions);
             recordPhases(actions);
         }
     }
@@ -123,6 +132,9 @@
                                        {{"service", order.service.value()},
                                         {"target", order.target},
                                         {"position", std::to_string(order.position)}}});
+        for (const version_evidence &entry : m_evidence.entriesOf(order.service, order.position, m_context->node.id)) {
+            added.addEvidence(entry);
+        }
         const auto record = m_records.find(order.service);
         if (record != m_records.end() && record->second.orderPosition == order.position) {
             added.applyRecord(record->second.phase, now());
@@ -151,6 +163,37 @@
         }
     }
 
+    void applyEvidence(const vm_id &peer, const version_evidence_list &list)
+    {
+        for (const version_evidence &entry : m_evidence.receive(peer, list)) {
+            const auto found = m_rollouts.find(entry.service);
+            if (found != m_rollouts.end() && found->second.order().position == entry.orderPosition) {
+                found->second.addEvidence(entry);
+            }
+        }
+    }
+
+    void exchangeEvidence(action_list &actions)
+    {
+        const auto *members = m_context->services.tryFind<member_view>();
+        if (members == nullptr || now() < m_nextExchange) {
+            return;
+        }
+        m_nextExchange = now() + exchangeInterval;
+        for (const auto &[service, each] : m_rollouts) {
+            // Without answers of the new version, the other VMs have nothing to compare.
+            if (each.newObservations() > 0) {
+                m_evidence.store({m_context->node.id,
+                                  m_context->node.incarnation,
+                                  each.newObservations(),
+                                  service,
+                                  each.order().position,
+                                  each.ownCounts()});
+            }
+        }
+        m_evidence.runRound(members->connectedPeers(), actions);
+    }
+
     void recordPhases(action_list &actions)
     {
         if (now() < m_nextCheck) {
@@ -197,6 +240,8 @@
     std::vector<backend_entry> m_backends;
     log_offset m_recordsEnd = 0;
     steady_time m_nextCheck;
+    evidence_exchange m_evidence;
+    steady_time m_nextExchange;
 };
 
 namespace {
--- /dev/null
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -0,0 +1,225 @@
+#include "base/random_source.h"
+#include "kernel/kernel.h"
+#include "plugins/rollouts/rollout_settings.h"
+#include "services/member_view.h"
+#include "services/rollout_policy.h"
+#include "support/action_queries.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+
+using namespace crocuslane;
+
+namespace {
+
+class silent_timeline : public timeline_recorder
+{
+public:
+    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
+    {
+    }
+};
+
+class fixed_members : public member_view
+{
+public:
+    std::vector<vm_id> peers;
+    std::vector<member_info> all;
+
+    entry_advice advice() const override
+    {
+        return {};
+    }
+    std::vector<member_info> members() const override
+    {
+        return all;
+    }
+    bool hasContactWithMajority(duration /*limit*/) const override
+    {
+        return true;
+    }
+    const std::vector<vm_entry> &backendServers() const override
+    {
+        return m_backendServers;
+    }
+    std::vector<vm_id> connectedPeers() const override
+    {
+        return peers;
+    }
+    std::optional<steady_time> earliestSendTime(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+    std::optional<std::string> regionOf(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+
+private:
+    std::vector<vm_entry> m_backendServers;
+};
+
+/// Entry VMs in a ring with connections across it; messages take 50 ms.
+class fleet_fixture
+{
+protected:
+    struct vm {
+        vm_id id;
+        fixed_members members;
+        silent_timeline timeline;
+        std::unique_ptr<kernel> core;
+    };
+    struct message {
+        std::size_t to = 0;
+        peer_message_received content;
+    };
+
+    void start(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            auto added = std::make_unique<vm>();
+            added->id = vm_id("vm-" + std::to_string(index));
+            for (const std::size_t step : {std::size_t{1}, count / 10, count / 3}) {
+                added->members.peers.push_back(vm_id("vm-" + std::to_string((index + step) % count)));
+                added->members.peers.push_back(vm_id("vm-" + std::to_string((index + count - step) % count)));
+            }
+            added->members.all.resize(count);
+            const node_identity node{added->id, 1, "zone", "region", "10.0.0.1:1", "10.0.0.1:2"};
+            added->core = std::make_unique<kernel>(
+                kernel::environment{m_clock, m_random, node, shared_secrets{}, added->timeline});
+            added->core->services().offer<member_view>(added->members);
+            added->core->services().offer(m_settings);
+            added->core->addRegistered({"rollouts"});
+            added->core->start();
+            m_vms.push_back(std::move(added));
+        }
+    }
+
+    void order()
+    {
+        for (const auto &each : m_vms) {
+            each->core->handle(rollout_ordered{{service_id("model"), "v2", std::chrono::seconds(20), 3}});
+        }
+    }
+
+    void observe(std::size_t vm, const std::string &version, int count, bool hasFailed)
+    {
+        version_observation observation;
+        observation.service = service_id("model");
+        observation.version = version;
+        observation.hasFailed = hasFailed;
+        for (int index = 0; index < count; ++index) {
+            policy(vm).observe(observation);
+        }
+    }
+
+    rollout_policy &policy(std::size_t vm)
+    {
+        return m_vms[vm]->core->services().find<rollout_policy>();
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        constexpr std::chrono::milliseconds step{50};
+        for (std::chrono::milliseconds passed{0}; passed < time; passed += step) {
+            m_clock.advance(step);
+            const std::vector<message> arrived = std::move(m_messages);
+            m_messages.clear();
+            for (const message &each : arrived) {
+                collect(each.to, m_vms[each.to]->core->handle(each.content));
+            }
+            for (std::size_t index = 0; index < m_vms.size(); ++index) {
+                collect(index, m_vms[index]->core->handle(timer_expired{}));
+            }
+        }
+    }
+
+    void collect(std::size_t from, const action_list &actions)
+    {
+        for (const send_to_peer &each : all<send_to_peer>(actions)) {
+            const std::size_t to = std::stoul(each.peer.value().substr(3));
+            m_messages.push_back({to, {m_vms[from]->id, each.message}});
+            ++m_messageCount;
+        }
+        for (const record_rollout &each : all<record_rollout>(actions)) {
+            m_recorded.push_back(each.record.phase);
+        }
+    }
+
+    std::size_t vmsWithoutNewVersion()
+    {
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < m_vms.size(); ++index) {
+            for (int request = 0; request < 60; ++request) {
+                policy(index).attemptStarted(service_id("model"), "v1", true);
+            }
+            count += policy(index).choose(service_id("model"), {}).allows("v2") ? 0 : 1;
+        }
+        return count;
+    }
+
+    bool isRecorded(rollout_phase phase) const
+    {
+        return std::find(m_recorded.begin(), m_recorded.end(), phase) != m_recorded.end();
+    }
+
+    manual_clock m_clock;
+    seeded_random m_random{5};
+    rollout_settings m_settings;
+    std::vector<std::unique_ptr<vm>> m_vms;
+    std::vector<message> m_messages;
+    std::vector<rollout_phase> m_recorded;
+    std::size_t m_messageCount = 0;
+};
+
+} // namespace
+
+// Guards against a bad version that no VM of a large deployment can detect, because each one has seen one answer of it.
+TEST_CASE_METHOD(fleet_fixture, "bad version, one failure at each of ten VMs of sixty, is left by all", "[rollouts]")
+{
+    start(60);
+    order();
+    for (std::size_t index = 0; index < 60; ++index) {
+        observe(index, "v1", 5, false);
+    }
+    for (std::size_t index = 0; index < 60; index += 6) {
+        observe(index, "v2", 1, true);
+    }
+    CHECK(vmsWithoutNewVersion() == 0);
+    run(std::chrono::milliseconds(2000));
+    CHECK(vmsWithoutNewVersion() == 60);
+    CHECK(isRecorded(rollout_phase::rolled_back));
+}
+
+// Guards against messages without end between VMs that already know what the others know.
+TEST_CASE_METHOD(fleet_fixture, "evidence, known to all VMs, is not sent again", "[rollouts]")
+{
+    start(12);
+    order();
+    observe(0, "v2", 2, false);
+    run(std::chrono::milliseconds(3000));
+    const std::size_t sent = m_messageCount;
+    CHECK(sent > 0);
+    run(std::chrono::milliseconds(3000));
+    CHECK(m_messageCount == sent);
+}
+
+// Guards against evidence of an earlier order, or of a process that has ended, that counts for the current one.
+TEST_CASE_METHOD(fleet_fixture, "evidence, of another order or outdated, doesn't count", "[rollouts]")
+{
+    start(12);
+    order();
+    observe(0, "v1", 20, false);
+    version_evidence entry{vm_id("vm-9"), 1, 40, service_id("model"), 2, {{1, {40, 40, 0}, {}}}};
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    CHECK(policy(0).choose(service_id("model"), {}).allows("v2"));
+    entry.orderPosition = 3;
+    entry.routes = {{1, {40, 0, 0}, {}}};
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    entry.counter = 30;
+    entry.routes = {{1, {30, 30, 0}, {}}};
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    CHECK(policy(0).choose(service_id("model"), {}).allows("v2"));
+}
--- a/src/plugins/rollouts/version_comparison.cpp
+++ b/src/plugins/rollouts/version_comparison.cpp
@@ -1,5 +1,7 @@
 #include "plugins/rollouts/version_comparison.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -36,17 +38,7 @@
     return (centre - spread) / (1.0 + squared / total);
 }
 
-} // namespace
-
-version_comparison::counts &version_comparison::counts::operator+=(const counts &other)
-{
-    answers += other.answers;
-    failures += other.failures;
-    slow += other.slow;
-    return *this;
-}
-
-bool version_comparison::pair_of_counts::hasRegressed() const
+bool hasRegressedOn(const version_counts &newVersion, const version_counts &oldVersions)
 {
     const double usualFailures =
         std::max(usualFailureShare, shareOf(oldVersions.failures, oldVersions.answers) + failureMargin);
@@ -58,9 +50,17 @@
         > shareOf(oldVersions.slow, oldVersions.answers) + slowMargin;
 }
 
+std::uint32_t hashOf(const std::string &route)
+{
+    return XXH32(route.data(), route.size(), 0);
+}
+
+} // namespace
+
 void version_comparison::add(const version_observation &observation, bool isNew)
 {
-    pair_of_counts &own = m_own[observation.route];
+    version_evidence::route_counts &own = m_own[hashOf(observation.route)];
+    own.route = hashOf(observation.route);
     const bool isSlow = !observation.hasFailed && m_pace.isSlow(observation);
     count(observation, isSlow, isNew ? own.newVersion : own.oldVersions);
     if (!isNew && !observation.hasFailed && !observation.isUnanswered) {
@@ -68,7 +68,7 @@
     }
 }
 
-void version_comparison::count(const version_observation &observation, bool isSlow, counts &target)
+void version_comparison::count(const version_observation &observation, bool isSlow, version_counts &target)
 {
     if (observation.hasFailed) {
         target.answers += observation.wasCounted ? 0 : 1;
@@ -83,31 +83,59 @@
     target.slow += isSlow ? 1 : 0;
 }
 
+void version_comparison::setEvidence(const version_evidence &evidence)
+{
+    m_others[evidence.vm] = evidence.routes;
+}
+
+std::vector<version_evidence::route_counts> version_comparison::ownCounts() const
+{
+    std::vector<version_evidence::route_counts> counts;
+    for (const auto &[route, each] : m_own) {
+        counts.push_back(each);
+    }
+    return counts;
+}
+
 bool version_comparison::hasRegressed() const
 {
-    pair_of_counts total;
-    for (const auto &[route, each] : countsByRoute()) {
-        if (each.hasRegressed()) {
+    version_counts newVersion;
+    version_counts oldVersions;
+    for (const auto &[route, each] : sumByRoute()) {
+        if (hasRegressedOn(each.newVersion, each.oldVersions)) {
             return true;
         }
-        total.newVersion += each.newVersion;
-        total.oldVersions += each.oldVersions;
+        newVersion += each.newVersion;
+        oldVersions += each.oldVersions;
     }
-    return total.hasRegressed();
+    return hasRegressedOn(newVersion, oldVersions);
 }
 
 std::uint64_t version_comparison::newAnswers() const
 {
     std::uint64_t total = 0;
-    for (const auto &[route, each] : countsByRoute()) {
+    for (const auto &[route, each] : sumByRoute()) {
         total += each.newVersion.answers;
     }
     return total;
 }
 
-std::map<std::string, version_comparison::pair_of_counts> version_comparison::countsByRoute() const
+void version_comparison::add(counts_by_route &total, const version_evidence::route_counts &counts)
 {
-    return m_own;
+    version_evidence::route_counts &sum = total[counts.route];
+    sum.newVersion += counts.newVersion;
+    sum.oldVersions += counts.oldVersions;
+}
+
+version_comparison::counts_by_route version_comparison::sumByRoute() const
+{
+    counts_by_route total = m_own;
+    for (const auto &[vm, routes] : m_others) {
+        for (const version_evidence::route_counts &each : routes) {
+            add(total, each);
+        }
+    }
+    return total;
 }
 
 } // namespace crocuslane
--- a/src/plugins/rollouts/version_comparison.h
+++ b/src/plugins/rollouts/version_comparison.h
@@ -1,43 +1,39 @@
 #pragma once
 
+#include "kernel/peer_message.h"
 #include "plugins/rollouts/answer_pace.h"
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace crocuslane {
 
 /// Compares failures and delays of a new version with those of the versions that it replaces, over all routes of a
-/// service and for each route.
+/// service and for each route. The answers of all entry VMs count.
 class version_comparison
 {
 public:
     void add(const version_observation &observation, bool isNew);
+    /// Replaces what is known from another VM.
+    void setEvidence(const version_evidence &evidence);
+    /// Answers that this VM received.
+    std::vector<version_evidence::route_counts> ownCounts() const;
     /// True when the new version fails clearly more often, or answers slowly clearly more often, than the old ones.
     bool hasRegressed() const;
     /// Answers of the new version, failures included.
     std::uint64_t newAnswers() const;
 
 private:
-    struct counts {
-        std::uint32_t answers = 0;
-        std::uint32_t failures = 0;
-        std::uint32_t slow = 0;
+    using counts_by_route = std::map<std::uint32_t, version_evidence::route_counts>;
 
-        counts &operator+=(const counts &other);
-    };
-    struct pair_of_counts {
-        counts newVersion;
-        counts oldVersions;
-
-        bool hasRegressed() const;
-    };
-
-    static void count(const version_observation &observation, bool isSlow, counts &target);
-    std::map<std::string, pair_of_counts> countsByRoute() const;
+    static void count(const version_observation &observation, bool isSlow, version_counts &target);
+    static void add(counts_by_route &total, const version_evidence::route_counts &counts);
+    counts_by_route sumByRoute() const;
 
     answer_pace m_pace;
-    std::map<std::string, pair_of_counts> m_own;
+    counts_by_route m_own;
+    std::map<vm_id, std::vector<version_evidence::route_counts>> m_others;
 };
 
 } // namespace crocuslane
