Require answers of the new version before the cutover

The cutover and the completion depended on time alone; a version of which nothing was known passed.

The cutover needs twelve answers of the new version over all VMs, five when seven tenths of the order's time have passed. At eight tenths, the order is rolled back instead. A service that hardly gets requests is excepted: it can't exceed the limit.

--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -13,13 +13,21 @@
 constexpr double cutoverFraction = 0.55;
 constexpr double latestCompletionFraction = 0.9;
 constexpr double sessionCanaryFraction = 0.505;
+constexpr double lateCanaryFraction = 0.65;
+constexpr double lateCutoverFraction = 0.7;
+constexpr double latestCutoverFraction = 0.8;
 constexpr double canarySessionShare = 0.12;
+constexpr double lateCanarySessionShare = 0.25;
 // A version that turns bad under load shows it at this share of the requests before all of them depend on it.
 constexpr double partialCutoverShare = 0.4;
 constexpr std::chrono::milliseconds partialCutover{1200};
 // Fractions of the exposure limit that the canary phase uses; the rest covers the time from the cutover to a rollback.
 constexpr double canaryFractionOfShare = 0.4;
 constexpr double canaryFractionOfAllowance = 0.4;
+// Answers of the new version without which there is no cutover.
+constexpr std::uint64_t minimumAnswers = 12;
+constexpr std::uint64_t minimumAnswersWhenLate = 5;
+constexpr double idleFractionOfAllowance = 0.5;
 // By this time after the cutover, every VM with a connection to the platform has read its record.
 constexpr std::chrono::milliseconds minimumCutover{2000};
 constexpr std::uint64_t jitterMilliseconds = 400;
@@ -60,7 +68,7 @@
     }
     if (phase == rollout_phase::cutover && m_phase == rollout_phase::canary) {
         // A VM that has just started reads a record that is older than its own view of the order.
-        const bool isEarlier = now < m_orderReadAt + fromSeconds(sessionCanaryFraction * toSeconds(m_order.limit));
+        const bool isEarlier = now < timeAt(sessionCanaryFraction);
         m_cutoverAt = isEarlier ? now - partialCutover : now;
     }
     m_phase = phase;
@@ -110,8 +118,10 @@
         return now < m_cutoverAt + partialCutover ? partialCutoverShare : 1.0;
     }
     // A session may not change from the old version to the new one in the first half of the time.
-    return now < m_orderReadAt + fromSeconds(sessionCanaryFraction * toSeconds(m_order.limit)) ? 0.0
-                                                                                               : canarySessionShare;
+    if (now < timeAt(sessionCanaryFraction)) {
+        return 0.0;
+    }
+    return now < timeAt(lateCanaryFraction) ? canarySessionShare : lateCanarySessionShare;
 }
 
 // All VMs have to send a session to the same version, without communication.
@@ -162,7 +172,7 @@
     return m_newObservations;
 }
 
-std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle) const
+std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle, std::size_t vmCount) const
 {
     if (isFinal() || now < m_nextRecordAt) {
         return std::nullopt;
@@ -171,22 +181,51 @@
         return rollout_phase::rolled_back;
     }
     if (m_phase == rollout_phase::canary) {
-        if (now >= m_orderReadAt + fromSeconds(cutoverFraction * toSeconds(m_order.limit)) + m_phaseJitter) {
-            return rollout_phase::cutover;
-        }
-        if (!m_hasRecord && now >= m_orderReadAt + m_phaseJitter) {
-            return rollout_phase::canary;
-        }
-        return std::nullopt;
+        return phaseAfterCanary(now, vmCount);
     }
     const bool isDrained = isOldVersionIdle && now >= m_cutoverAt + minimumCutover + m_phaseJitter;
-    const steady_time latest = m_orderReadAt + fromSeconds(latestCompletionFraction * toSeconds(m_order.limit));
-    if (isDrained || now >= std::max<steady_time>(latest, m_cutoverAt + minimumCutover) + m_phaseJitter) {
+    const steady_time latest = std::max<steady_time>(timeAt(latestCompletionFraction), m_cutoverAt + minimumCutover);
+    if (isDrained || now >= latest + m_phaseJitter) {
         return rollout_phase::completed;
     }
     return std::nullopt;
 }
 
+std::optional<rollout_phase> rollout::phaseAfterCanary(steady_time now, std::size_t vmCount) const
+{
+    if (now >= timeAt(cutoverFraction) + m_phaseJitter && hasEvidence(now, vmCount)) {
+        return rollout_phase::cutover;
+    }
+    // A version of which nothing is known is not better than a bad one.
+    if (now >= timeAt(latestCutoverFraction) + m_phaseJitter) {
+        return rollout_phase::rolled_back;
+    }
+    if (!m_hasRecord && now >= m_orderReadAt + m_phaseJitter) {
+        return rollout_phase::canary;
+    }
+    return std::nullopt;
+}
+
+bool rollout::hasEvidence(steady_time now, std::size_t vmCount) const
+{
+    const bool isLate = now >= timeAt(lateCutoverFraction);
+    if (newAnswers() >= (isLate ? minimumAnswersWhenLate : minimumAnswers)) {
+        return true;
+    }
+    // A service that hardly gets requests can't exceed the limit either.
+    return static_cast<double>(m_requests * vmCount) < idleFractionOfAllowance * m_settings.exposureAllowance;
+}
+
+std::uint64_t rollout::newAnswers() const
+{
+    return m_comparison.newAnswers();
+}
+
+steady_time rollout::timeAt(double fraction) const
+{
+    return m_orderReadAt + fromSeconds(fraction * toSeconds(m_order.limit));
+}
+
 steady_time rollout::nextRecordTime() const
 {
     if (isFinal()) {
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -32,8 +32,11 @@
     std::vector<version_evidence::route_counts> ownCounts() const;
     /// Number of observations of the new version; grows with each one.
     std::uint64_t newObservations() const;
-    /// The phase that this VM should record now; nothing while the current phase continues.
-    std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle) const;
+    /// The phase that this VM should record now; nothing while the current phase continues. @p vmCount VMs receive the
+    /// requests of the service.
+    std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle, std::size_t vmCount) const;
+    /// Answers of the new version that the decisions rely on.
+    std::uint64_t newAnswers() const;
     /// Earliest time at which phaseToRecord() may return a phase; the maximum once the phase is final.
     steady_time nextRecordTime() const;
     /// Delays the next record after this VM sent one, or after another VM's record came first.
@@ -48,6 +51,11 @@
     double sessionShare(steady_time now) const;
     bool usesNewVersion(const std::string &session, steady_time now) const;
     bool isFinal() const;
+    /// The time at which @p fraction of the order's time limit has passed.
+    steady_time timeAt(double fraction) const;
+    std::optional<rollout_phase> phaseAfterCanary(steady_time now, std::size_t vmCount) const;
+    /// Enough is known of the new version for all requests to depend on it.
+    bool hasEvidence(steady_time now, std::size_t vmCount) const;
 
     rollout_order m_order;
     rollout_settings m_settings;
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -201,7 +201,8 @@
         }
         m_nextCheck = now() + checkInterval;
         for (auto &[service, each] : m_rollouts) {
-            const std::optional<rollout_phase> phase = each.phaseToRecord(now(), isOldVersionIdle(each.order()));
+            const std::optional<rollout_phase> phase =
+                each.phaseToRecord(now(), isOldVersionIdle(each.order()), vmCount());
             if (!phase) {
                 continue;
             }
@@ -213,6 +214,7 @@
                                            {{"service", service.value()},
                                             {"target", record.target},
                                             {"phase", std::string(toName(*phase))},
+                                            {"new_answers", std::to_string(each.newAnswers())},
                                             {"expected_end", std::to_string(m_recordsEnd)}}});
         }
     }
--- a/src/plugins/rollouts/tests/rollout_test.cpp
+++ b/src/plugins/rollouts/tests/rollout_test.cpp
@@ -54,7 +54,7 @@
 
     std::optional<rollout_phase> phaseToRecord(bool isOldVersionIdle = false)
     {
-        return m_rollout->phaseToRecord(m_clock.steadyNow(), isOldVersionIdle);
+        return m_rollout->phaseToRecord(m_clock.steadyNow(), isOldVersionIdle, 6);
     }
 
     void advance(std::chrono::milliseconds time)
@@ -157,7 +157,7 @@
 }
 
 // Guards against a new version that gets all requests although nothing is known about it.
-TEST_CASE_METHOD(rollout_fixture, "cutover, no answer of the new version, is not recorded", "[rollouts][!shouldfail]")
+TEST_CASE_METHOD(rollout_fixture, "cutover, no answer of the new version, is not recorded", "[rollouts]")
 {
     m_rollout->applyRecord(rollout_phase::canary, m_clock.steadyNow());
     countNewVersion(200, "session");
@@ -228,3 +228,25 @@
     m_rollout->applyRecord(rollout_phase::cutover, m_clock.steadyNow());
     CHECK(countNewVersion(100) == 100);
 }
+
+// Guards against a good version that is not brought in.
+TEST_CASE_METHOD(rollout_fixture, "cutover, enough good answers of the new version, is recorded", "[rollouts]")
+{
+    m_rollout->applyRecord(rollout_phase::canary, m_clock.steadyNow());
+    countNewVersion(200, "session");
+    observe("v1", 200, false);
+    observe("v2", 12, false);
+    advance(std::chrono::milliseconds(11'500));
+    CHECK(phaseToRecord() == rollout_phase::cutover);
+}
+
+// Guards against an order that neither ends well nor badly because the new version gets no requests.
+TEST_CASE_METHOD(rollout_fixture, "canary, no answer until late, is rolled back", "[rollouts]")
+{
+    m_rollout->applyRecord(rollout_phase::canary, m_clock.steadyNow());
+    countNewVersion(200, "session");
+    advance(std::chrono::milliseconds(15'500));
+    CHECK_FALSE(phaseToRecord());
+    advance(std::chrono::milliseconds(1000));
+    CHECK(phaseToRecord() == rollout_phase::rolled_back);
+}
