Compare the delays of versions over all VMs

What callers saw: a bad version of a plain service, half of its answers eight times slower, got all requests and was kept.

VMs exchange histograms of delays now, and each one judges the sum: an answer is slow from two octaves above the median of all old answers of its route. The new test fails on the code before, where each VM judged slowness by its own median (case 'few answers at each VM'). The line rollout_record_sent gives the counts.

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "kernel/types.h"
 
+#include <array>
 #include <variant>
 
 namespace crocuslane {
@@ -126,20 +127,19 @@
     std::uint32_t unpackedBytes = 0;
 };
 
+/// Counts of answers by their delay relative to the delay to expect, in steps of half an octave; counts saturate.
+struct delay_histogram {
+    static constexpr std::size_t size = 16;
+
+    std::array<std::uint32_t, size> counts{};
+};
+
 /// Answers of software versions to requests of one route.
 struct version_counts {
+    /// Failures included.
     std::uint32_t answers = 0;
     std::uint32_t failures = 0;
-    /// Answers that took several times as long as usual on their route.
-    std::uint32_t slow = 0;
-
-    version_counts &operator+=(const version_counts &other)
-    {
-        answers += other.answers;
-        failures += other.failures;
-        slow += other.slow;
-        return *this;
-    }
+    delay_histogram delays;
 };
 
 /// Answers that one entry VM has received during a roll-out.
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -243,16 +243,27 @@
                                            message.unpackedBytes));
 }
 
+std::array<std::uint8_t, delay_histogram::size> encodeDelays(const delay_histogram &delays)
+{
+    std::array<std::uint8_t, delay_histogram::size> encoded{};
+    std::transform(delays.counts.begin(), delays.counts.end(), encoded.begin(), [](auto count) {
+        return saturated<std::uint8_t>(count);
+    });
+    return encoded;
+}
+
 wire::version_route_counts encodeCounts(const version_evidence::route_counts &counts)
 {
     const auto count = [](std::uint32_t value) { return saturated<std::uint16_t>(value); };
+    const auto newDelays = encodeDelays(counts.newVersion.delays);
+    const auto oldDelays = encodeDelays(counts.oldVersions.delays);
     return {counts.route,
             count(counts.newVersion.answers),
             count(counts.newVersion.failures),
-            count(counts.newVersion.slow),
             count(counts.oldVersions.answers),
             count(counts.oldVersions.failures),
-            count(counts.oldVersions.slow)};
+            flatbuffers::span<const std::uint8_t, delay_histogram::size>(newDelays),
+            flatbuffers::span<const std::uint8_t, delay_histogram::size>(oldDelays)};
 }
 
 leaf::result<encoded_message>
@@ -481,11 +492,18 @@
     return part;
 }
 
+delay_histogram decodeDelays(const flatbuffers::Array<std::uint8_t, delay_histogram::size> &delays)
+{
+    delay_histogram decoded;
+    std::copy(delays.begin(), delays.end(), decoded.counts.begin());
+    return decoded;
+}
+
 version_evidence::route_counts decodeCounts(const wire::version_route_counts &counts)
 {
     return {counts.route(),
-            {counts.new_answers(), counts.new_failures(), counts.new_slow()},
-            {counts.old_answers(), counts.old_failures(), counts.old_slow()}};
+            {counts.new_answers(), counts.new_failures(), decodeDelays(*counts.new_delays())},
+            {counts.old_answers(), counts.old_failures(), decodeDelays(*counts.old_delays())}};
 }
 
 leaf::result<peer_message> decode(name_list_reader &names, const wire::version_evidence_list &message)
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -380,10 +380,10 @@
   uint32_t route_;
   uint16_t new_answers_;
   uint16_t new_failures_;
-  uint16_t new_slow_;
   uint16_t old_answers_;
   uint16_t old_failures_;
-  uint16_t old_slow_;
+  uint8_t new_delays_[16];
+  uint8_t old_delays_[16];
 
  public:
   struct Traits;
@@ -391,19 +391,28 @@
       : route_(0),
         new_answers_(0),
         new_failures_(0),
-        new_slow_(0),
         old_answers_(0),
         old_failures_(0),
-        old_slow_(0) {
+        new_delays_(),
+        old_delays_() {
   }
-  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _new_slow, uint16_t _old_answers, uint16_t _old_failures, uint16_t _old_slow)
+  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _old_answers, uint16_t _old_failures)
       : route_(flatbuffers::EndianScalar(_route)),
         new_answers_(flatbuffers::EndianScalar(_new_answers)),
         new_failures_(flatbuffers::EndianScalar(_new_failures)),
-        new_slow_(flatbuffers::EndianScalar(_new_slow)),
         old_answers_(flatbuffers::EndianScalar(_old_answers)),
         old_failures_(flatbuffers::EndianScalar(_old_failures)),
-        old_slow_(flatbuffers::EndianScalar(_old_slow)) {
+        new_delays_(),
+        old_delays_() {
+  }
+  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _old_answers, uint16_t _old_failures, flatbuffers::span<const uint8_t, 16> _new_delays, flatbuffers::span<const uint8_t, 16> _old_delays)
+      : route_(flatbuffers::EndianScalar(_route)),
+        new_answers_(flatbuffers::EndianScalar(_new_answers)),
+        new_failures_(flatbuffers::EndianScalar(_new_failures)),
+        old_answers_(flatbuffers::EndianScalar(_old_answers)),
+        old_failures_(flatbuffers::EndianScalar(_old_failures)) {
+    flatbuffers::CastToArray(new_delays_).CopyFromSpan(_new_delays);
+    flatbuffers::CastToArray(old_delays_).CopyFromSpan(_old_delays);
   }
   uint32_t route() const {
     return flatbuffers::EndianScalar(route_);
@@ -414,20 +423,20 @@
   uint16_t new_failures() const {
     return flatbuffers::EndianScalar(new_failures_);
   }
-  uint16_t new_slow() const {
-    return flatbuffers::EndianScalar(new_slow_);
-  }
   uint16_t old_answers() const {
     return flatbuffers::EndianScalar(old_answers_);
   }
   uint16_t old_failures() const {
     return flatbuffers::EndianScalar(old_failures_);
   }
-  uint16_t old_slow() const {
-    return flatbuffers::EndianScalar(old_slow_);
+  const flatbuffers::Array<uint8_t, 16> *new_delays() const {
+    return &flatbuffers::CastToArray(new_delays_);
+  }
+  const flatbuffers::Array<uint8_t, 16> *old_delays() const {
+    return &flatbuffers::CastToArray(old_delays_);
   }
 };
-FLATBUFFERS_STRUCT_END(version_route_counts, 16);
+FLATBUFFERS_STRUCT_END(version_route_counts, 44);
 
 struct version_route_counts::Traits {
   using type = version_route_counts;
--- a/src/libs/wire/fuzz/write_seeds.cpp
+++ b/src/libs/wire/fuzz/write_seeds.cpp
@@ -43,7 +43,7 @@
         configuration_fetch{12},
         configuration_text{12, 99, "[service a]\n"},
         stream_part{"s", 4, 9, {}, {}, {{"key", "value", 5}, {"other", {}, 8}}},
-        version_evidence_list{{{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, 1}, {70, 4, 3}}}}}}};
+        version_evidence_list{{{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, {}}, {70, 4, {}}}}}}}};
     std::vector<std::string> inputs;
     std::string stream;
     std::string connection;
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -118,7 +118,9 @@
     CHECK((*packed.records[0].value == *sent.records[0].value && !packed.records[1].value));
     CHECK((packed.packedRecords == sent.packedRecords && packed.packedRecords.size() < 2000));
 
-    const version_evidence evidence{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, 1}, {70'000, 4, 3}}}};
+    version_evidence evidence{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, {}}, {70'000, 4, {}}}}};
+    evidence.routes[0].newVersion.delays.counts[3] = 9;
+    evidence.routes[0].oldVersions.delays.counts[15] = 300;
     const auto list = std::get<version_evidence_list>(roundTrip(version_evidence_list{{evidence}}));
     REQUIRE((list.entries.size() == 1 && list.entries[0].routes.size() == 1));
     const version_evidence &entry = list.entries[0];
@@ -126,7 +128,8 @@
     CHECK((entry.service == evidence.service && entry.orderPosition == 6));
     const version_evidence::route_counts &counts = entry.routes[0];
     CHECK((counts.route == 77 && counts.newVersion.answers == 5 && counts.newVersion.failures == 2));
-    CHECK((counts.newVersion.slow == 1 && counts.oldVersions.failures == 4 && counts.oldVersions.slow == 3));
+    CHECK((counts.newVersion.delays.counts[3] == 9 && counts.oldVersions.failures == 4));
+    CHECK(counts.oldVersions.delays.counts[15] == 255);
     CHECK(counts.oldVersions.answers == 65'535);
 }
 
--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -209,16 +209,16 @@
 bool rollout::hasEvidence(steady_time now, std::size_t vmCount) const
 {
     const bool isLate = now >= timeAt(lateCutoverFraction);
-    if (newAnswers() >= (isLate ? minimumAnswersWhenLate : minimumAnswers)) {
+    if (m_comparison.newAnswers() >= (isLate ? minimumAnswersWhenLate : minimumAnswers)) {
         return true;
     }
     // A service that hardly gets requests can't exceed the limit either.
     return static_cast<double>(m_requests * vmCount) < idleFractionOfAllowance * m_settings.exposureAllowance;
 }
 
-std::uint64_t rollout::newAnswers() const
+std::string rollout::describeEvidence() const
 {
-    return m_comparison.newAnswers();
+    return m_comparison.describe();
 }
 
 steady_time rollout::timeAt(double fraction) const
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -35,8 +35,8 @@
     /// The phase that this VM should record now; nothing while the current phase continues. @p vmCount VMs receive the
     /// requests of the service.
     std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle, std::size_t vmCount) const;
-    /// Answers of the new version that the decisions rely on.
-    std::uint64_t newAnswers() const;
+    /// version_comparison::describe()
+    std::string describeEvidence() const;
     /// Earliest time at which phaseToRecord() may return a phase; the maximum once the phase is final.
     steady_time nextRecordTime() const;
     /// Delays the next record after this VM sent one, or after another VM's record came first.
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -214,7 +214,7 @@
                                            {{"service", service.value()},
                                             {"target", record.target},
                                             {"phase", std::string(toName(*phase))},
-                                            {"new_answers", std::to_string(each.newAnswers())},
+                                            {"evidence", each.describeEvidence()},
                                             {"expected_end", std::to_string(m_recordsEnd)}}});
         }
     }
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -212,14 +212,14 @@
     start(12);
     order();
     observe(0, "v1", 20, false);
-    version_evidence entry{vm_id("vm-9"), 1, 40, service_id("model"), 2, {{1, {40, 40, 0}, {}}}};
+    version_evidence entry{vm_id("vm-9"), 1, 40, service_id("model"), 2, {{1, {40, 40, {}}, {}}}};
     m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
     CHECK(policy(0).choose(service_id("model"), {}).allows("v2"));
     entry.orderPosition = 3;
-    entry.routes = {{1, {40, 0, 0}, {}}};
+    entry.routes = {{1, {40, 0, {}}, {}}};
     m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
     entry.counter = 30;
-    entry.routes = {{1, {30, 30, 0}, {}}};
+    entry.routes = {{1, {30, 30, {}}, {}}};
     m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
     CHECK(policy(0).choose(service_id("model"), {}).allows("v2"));
 }
--- a/src/plugins/rollouts/tests/version_comparison_test.cpp
+++ b/src/plugins/rollouts/tests/version_comparison_test.cpp
@@ -144,3 +144,27 @@
     m_comparison.add(observation, true);
     CHECK(m_comparison.newAnswers() == 1);
 }
+
+// Guards against slow answers that no VM detects, because none knows by itself how long answers usually take.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "comparison, few answers at each VM and two fifths of them five times slower, has regressed",
+                 "[rollouts]")
+{
+    constexpr int vmCount = 5;
+    for (int vm = 0; vm < vmCount; ++vm) {
+        version_comparison other;
+        version_observation observation;
+        for (int index = 0; index < 6; ++index) {
+            observation.delay = std::chrono::milliseconds(60 + 15 * index);
+            other.add(observation, false);
+            observation.delay = std::chrono::milliseconds(index < 2 ? 500 : 100);
+            other.add(observation, true);
+        }
+        CHECK_FALSE(other.hasRegressed());
+        version_evidence evidence;
+        evidence.vm = vm_id("vm-" + std::to_string(vm));
+        evidence.routes = other.ownCounts();
+        m_comparison.setEvidence(evidence);
+    }
+    CHECK(m_comparison.hasRegressed());
+}
--- a/src/plugins/rollouts/version_comparison.cpp
+++ b/src/plugins/rollouts/version_comparison.cpp
@@ -1,5 +1,8 @@
 #include "plugins/rollouts/version_comparison.h"
 
+#include "plugins/rollouts/delay_comparison.h"
+
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -38,16 +41,28 @@
     return (centre - spread) / (1.0 + squared / total);
 }
 
-bool hasRegressedOn(const version_counts &newVersion, const version_counts &oldVersions)
+bool failsMore(const version_counts &newVersion, const version_counts &oldVersions)
 {
-    const double usualFailures =
+    const double usual =
         std::max(usualFailureShare, shareOf(oldVersions.failures, oldVersions.answers) + failureMargin);
-    if (newVersion.failures >= minimumFailures && lowerBound(newVersion.failures, newVersion.answers) > usualFailures) {
-        return true;
+    return newVersion.failures >= minimumFailures && lowerBound(newVersion.failures, newVersion.answers) > usual;
+}
+
+bool isSlower(const delay_histogram &newVersion, const delay_histogram &oldVersions)
+{
+    const std::size_t first = firstSlowBucket(oldVersions);
+    const std::uint32_t answers = countFrom(newVersion, 0);
+    if (first == delay_histogram::size || answers < minimumAnswersForSlowness) {
+        return false;
     }
-    return newVersion.answers >= minimumAnswersForSlowness
-        && lowerBound(newVersion.slow, newVersion.answers)
-        > shareOf(oldVersions.slow, oldVersions.answers) + slowMargin;
+    const double usual = shareOf(countFrom(oldVersions, first), countFrom(oldVersions, 0));
+    return lowerBound(countFrom(newVersion, first), answers) > usual + slowMargin;
+}
+
+bool hasRegressedOn(const version_evidence::route_counts &counts)
+{
+    return failsMore(counts.newVersion, counts.oldVersions)
+        || isSlower(counts.newVersion.delays, counts.oldVersions.delays);
 }
 
 std::uint32_t hashOf(const std::string &route)
@@ -59,28 +74,25 @@
 
 void version_comparison::add(const version_observation &observation, bool isNew)
 {
+    if (observation.isUnanswered && !isOverdue(observation)) {
+        return;
+    }
     version_evidence::route_counts &own = m_own[hashOf(observation.route)];
     own.route = hashOf(observation.route);
-    const bool isSlow = !observation.hasFailed && m_pace.isSlow(observation);
-    count(observation, isSlow, isNew ? own.newVersion : own.oldVersions);
-    if (!isNew && !observation.hasFailed && !observation.isUnanswered) {
-        m_pace.add(observation);
-    }
-}
-
-void version_comparison::count(const version_observation &observation, bool isSlow, version_counts &target)
-{
+    version_counts &target = isNew ? own.newVersion : own.oldVersions;
+    target.answers += observation.wasCounted ? 0 : 1;
     if (observation.hasFailed) {
-        target.answers += observation.wasCounted ? 0 : 1;
         ++target.failures;
         return;
     }
-    // An answer that the caller didn't wait for says something only if it was slow already.
-    if (observation.isUnanswered && !isSlow) {
-        return;
-    }
-    ++target.answers;
-    target.slow += isSlow ? 1 : 0;
+    ++target.delays.counts[delayBucket(observation)];
+}
+
+bool version_comparison::isOverdue(const version_observation &observation) const
+{
+    const counts_by_route routes = sumByRoute();
+    const auto found = routes.find(hashOf(observation.route));
+    return found != routes.end() && delayBucket(observation) >= firstSlowBucket(found->second.oldVersions.delays);
 }
 
 void version_comparison::setEvidence(const version_evidence &evidence)
@@ -99,32 +111,52 @@
 
 bool version_comparison::hasRegressed() const
 {
-    version_counts newVersion;
-    version_counts oldVersions;
-    for (const auto &[route, each] : sumByRoute()) {
-        if (hasRegressedOn(each.newVersion, each.oldVersions)) {
-            return true;
-        }
-        newVersion += each.newVersion;
-        oldVersions += each.oldVersions;
-    }
-    return hasRegressedOn(newVersion, oldVersions);
+    const counts_by_route routes = sumByRoute();
+    const bool hasRegressedOnRoute =
+        std::any_of(routes.begin(), routes.end(), [](const auto &each) { return hasRegressedOn(each.second); });
+    return hasRegressedOnRoute || hasRegressedOn(sum());
 }
 
 std::uint64_t version_comparison::newAnswers() const
 {
-    std::uint64_t total = 0;
+    return sum().newVersion.answers;
+}
+
+std::string version_comparison::describe() const
+{
+    const version_evidence::route_counts total = sum();
+    const std::size_t first = firstSlowBucket(total.oldVersions.delays);
+    return fmt::format("new:{}/{}/{},old:{}/{}/{}",
+                       total.newVersion.answers,
+                       total.newVersion.failures,
+                       countFrom(total.newVersion.delays, first),
+                       total.oldVersions.answers,
+                       total.oldVersions.failures,
+                       countFrom(total.oldVersions.delays, first));
+}
+
+version_evidence::route_counts version_comparison::sum() const
+{
+    version_evidence::route_counts total;
     for (const auto &[route, each] : sumByRoute()) {
-        total += each.newVersion.answers;
+        add(total.newVersion, each.newVersion);
+        add(total.oldVersions, each.oldVersions);
     }
     return total;
 }
 
+void version_comparison::add(version_counts &total, const version_counts &counts)
+{
+    total.answers += counts.answers;
+    total.failures += counts.failures;
+    total.delays += counts.delays;
+}
+
 void version_comparison::add(counts_by_route &total, const version_evidence::route_counts &counts)
 {
     version_evidence::route_counts &sum = total[counts.route];
-    sum.newVersion += counts.newVersion;
-    sum.oldVersions += counts.oldVersions;
+    add(sum.newVersion, counts.newVersion);
+    add(sum.oldVersions, counts.oldVersions);
 }
 
 version_comparison::counts_by_route version_comparison::sumByRoute() const
--- a/src/plugins/rollouts/version_comparison.h
+++ b/src/plugins/rollouts/version_comparison.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "kernel/peer_message.h"
-#include "plugins/rollouts/answer_pace.h"
+#include "services/rollout_policy.h"
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace crocuslane {
@@ -23,15 +24,19 @@
     bool hasRegressed() const;
     /// Answers of the new version, failures included.
     std::uint64_t newAnswers() const;
+    /// Counts of all VMs as text: answers, failures and slow answers of the new and the old versions.
+    std::string describe() const;
 
 private:
     using counts_by_route = std::map<std::uint32_t, version_evidence::route_counts>;
 
-    static void count(const version_observation &observation, bool isSlow, version_counts &target);
+    static void add(version_counts &total, const version_counts &counts);
     static void add(counts_by_route &total, const version_evidence::route_counts &counts);
     counts_by_route sumByRoute() const;
+    version_evidence::route_counts sum() const;
+    /// The caller or a deadline ended the attempt, and by then an answer would have been slow.
+    bool isOverdue(const version_observation &observation) const;
 
-    answer_pace m_pace;
     counts_by_route m_own;
     std::map<vm_id, std::vector<version_evidence::route_counts>> m_others;
 };
