Test how the HTTP client takes the ends of answers

A scripted server sends exactly the bytes that a test gives and then keeps, closes or resets the connection. With it net_test fixes what held already: an answer with neither a length nor chunks that ends by a close is complete; one that is reset, that ends before its length or without its last chunk, or of which only an interim head arrived, is lost.

--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -2,6 +2,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "support/endless_server.h"
+#include "support/scripted_server.h"
 
 #include <ace/Reactor.h>
 #include <boost/leaf/handle_errors.hpp>
@@ -188,6 +189,42 @@
     }
 }
 
+// Guards against an answer that is taken as complete although its head, its length or its last chunk is missing, or its
+// connection was reset; and against one refused because it has neither a length nor chunks.
+TEST_CASE_METHOD(http_fixture, "http client, answer ends in every way, is complete only when whole", "[net]")
+{
+    struct ended_answer {
+        scripted_answer answer;
+        transfer_result result;
+        std::string body;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<ended_answer> answers{
+        {{{head + "\r\nwhole ", "body"}, connection_end::close}, transfer_result::complete, "whole body"},
+        {{{head + "\r\n"}, connection_end::close}, transfer_result::complete, ""},
+        {{{"HTTP/1.0 200 OK\r\n\r\nwhole ", "body"}, connection_end::close}, transfer_result::complete, "whole body"},
+        {{{head + "\r\nhalf ", "a body"}, connection_end::reset}, transfer_result::lost, "half a body"},
+        {{{head + "\r\n"}, connection_end::reset}, transfer_result::lost, ""},
+        {{{head + "Content-Length: 9\r\n\r\n", "half"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{chunkedHead + "4\r\nhalf\r\n"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{chunkedHead + "4\r\nhalf\r\n", "0\r\n"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{"HTTP/1.1 100 Continue\r\n\r\n"}, connection_end::close}, transfer_result::lost, ""},
+        {{{}, connection_end::close}, transfer_result::lost, ""}};
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        INFO("answer " << index);
+        const ended_answer &each = answers[index];
+        scripted_server server([&each](const std::string & /*request*/) { return each.answer; });
+        http_client_request request;
+        m_address = server.address();
+        request.target = "/";
+        m_body.clear();
+        runRequest(std::move(request));
+        CHECK(m_result == each.result);
+        CHECK(m_body == each.body);
+    }
+}
+
 // Guards against a body lost between server and client.
 TEST_CASE_METHOD(http_fixture, "http server, post, answers with the body", "[net]")
 {
