Take an answer whose connection is closed inside its head as lost

What callers saw: an answer of which only the status line or part of the header fields had arrived counted as complete with an empty body. A call to an operation that was cut off after "HTTP/1.1 503" was reported as rejected, so as not run; an append to the store cut off after "HTTP/1.1 200" as done. Forwarded requests were not affected: backend_port counts an attempt without a complete head as lost.

Cause: libcurl ends a transfer with success when the connection is closed inside the head, as soon as one header line has been read, and http_client took libcurl's code as the result.

Evidence: two lines added to "answer ends in every way" of net_test fail without the change: CHECK( m_result == each.result ) with expansion: 0 == 2, answer 8 and answer 9 (0 is complete, 2 is lost).

Why the fix works: the end of the final answer's head is already recorded for each transfer; a transfer that ends without it is lost, with status 0.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -120,16 +120,19 @@
     {
         char *pointer = nullptr;
         curl_easy_getinfo(handle, CURLINFO_PRIVATE, &pointer);
-        const auto number = reinterpret_cast<transfer *>(pointer)->number;
+        const transfer &ended = *reinterpret_cast<transfer *>(pointer);
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         transfer_result result = transfer_result::complete;
         if (code != CURLE_OK) {
-            const transfer &failed = *reinterpret_cast<transfer *>(pointer);
-            result = failed.hasStartedSending ? transfer_result::lost : transfer_result::not_connected;
-            recordFailure(failed);
-        }
-        finish(number, result, code == CURLE_OK || status > 0 ? static_cast<std::uint32_t>(status) : 0);
+            result = ended.hasStartedSending ? transfer_result::lost : transfer_result::not_connected;
+            recordFailure(ended);
+        } else if (!ended.isHeadComplete) {
+            // libcurl reports success when the connection is closed inside the head.
+            result = transfer_result::lost;
+            status = 0;
+        }
+        finish(ended.number, result, static_cast<std::uint32_t>(status));
     }
 
     /// When a reused connection failed, the other idle connections to the address have probably failed for the same
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -209,6 +209,8 @@
         {{{head + "Content-Length: 9\r\n\r\n", "half"}, connection_end::close}, transfer_result::lost, "half"},
         {{{chunkedHead + "4\r\nhalf\r\n"}, connection_end::close}, transfer_result::lost, "half"},
         {{{chunkedHead + "4\r\nhalf\r\n", "0\r\n"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{head + "X-Field: va"}, connection_end::close}, transfer_result::lost, ""},
+        {{{head}, connection_end::close}, transfer_result::lost, ""},
         {{{"HTTP/1.1 100 Continue\r\n\r\n"}, connection_end::close}, transfer_result::lost, ""},
         {{{}, connection_end::close}, transfer_result::lost, ""}};
     for (std::size_t index = 0; index < answers.size(); ++index) {
