Look at idle connections before one of them is reused

What callers saw: 502 for an order that no runner had received, when the runner's kept connection had been reset while it was idle; and the same, after the order had run, when a runner sent bytes after the end of its last answer. Callers didn't get these bytes, because backend_port compares the attempt id, but answers of the store, of operations and of other VMs carry none: trailing bytes there became the answer to the next request on the connection.

Why the fix works: idle_sockets holds the sockets that libcurl doesn't watch at the moment. Before libcurl assigns a connection to a new transfer, the ones that have become readable are shut down and emptied, so that libcurl sees their end, closes them and opens another. It costs one epoll_wait for each batch of started transfers. What arrives after the assignment is still caught by the attempt id only. Bytes that arrive together with the last chunk are discarded by libcurl, and the connection is kept.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
+#include "net/idle_sockets.h"
 #include "net/socket_set.h"
 
 #include <curl/curl.h>
@@ -82,6 +83,17 @@
     {
         const int bits = (events.isReadable ? CURL_CSELECT_IN : 0) | (events.isWritable ? CURL_CSELECT_OUT : 0)
             | (events.hasError ? CURL_CSELECT_ERR : 0);
+        act(socket, bits);
+    }
+
+    void act(curl_socket_t socket, int bits)
+    {
+        // libcurl would take unread bytes as the answer to the request that it sends next over the connection. It only
+        // looks for the end of a connection before it reuses it.
+        if (hasUnassignedTransfers) {
+            hasUnassignedTransfers = false;
+            idleSockets.endReadable();
+        }
         int running = 0;
         curl_multi_socket_action(multi, socket, bits, &running);
     }
@@ -101,11 +113,18 @@
         for (const transfer_number number : std::exchange(startedInCallback, {})) {
             const auto found = transfers.find(number);
             if (found != transfers.end()) {
-                curl_multi_add_handle(multi, found->second->handle);
+                assignLater(*found->second);
             }
         }
     }
 
+    /// libcurl assigns a connection to the transfer in its next call.
+    void assignLater(const transfer &added)
+    {
+        hasUnassignedTransfers = true;
+        curl_multi_add_handle(multi, added.handle);
+    }
+
     void readResults()
     {
         int messagesLeft = 0;
@@ -236,8 +255,7 @@
         }
         multiTimer = loop.schedule(std::chrono::milliseconds(milliseconds), [this] {
             multiTimer.reset();
-            int running = 0;
-            curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            act(CURL_SOCKET_TIMEOUT, 0);
             finishIteration();
         });
     }
@@ -245,14 +263,16 @@
     static int
     socketCallback(CURL * /*handle*/, curl_socket_t socket, int pollEvents, void *self, void * /*socketData*/)
     {
-        socket_set &sockets = static_cast<private_data *>(self)->sockets;
+        auto &owner = *static_cast<private_data *>(self);
         if (pollEvents == CURL_POLL_REMOVE) {
-            sockets.unwatch(socket);
+            owner.sockets.unwatch(socket);
+            owner.idleSockets.add(socket);
             return 0;
         }
-        sockets.watch(socket,
-                      pollEvents == CURL_POLL_IN || pollEvents == CURL_POLL_INOUT,
-                      pollEvents == CURL_POLL_OUT || pollEvents == CURL_POLL_INOUT);
+        owner.idleSockets.remove(socket);
+        owner.sockets.watch(socket,
+                            pollEvents == CURL_POLL_IN || pollEvents == CURL_POLL_INOUT,
+                            pollEvents == CURL_POLL_OUT || pollEvents == CURL_POLL_INOUT);
         return 0;
     }
 
@@ -374,6 +394,8 @@
 
     event_loop &loop;
     socket_set sockets;
+    idle_sockets idleSockets;
+    bool hasUnassignedTransfers = false;
     CURLM *multi = nullptr;
     transfer_number lastNumber = 0;
     std::map<transfer_number, std::unique_ptr<transfer>> transfers;
@@ -474,7 +496,7 @@
     if (d->isInCallback) {
         d->startedInCallback.push_back(number);
     } else {
-        curl_multi_add_handle(d->multi, handle);
+        d->assignLater(transfer);
     }
     if (content.silenceLimit > duration::zero()) {
         d->checkSilence(transfer);
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -227,6 +227,57 @@
     }
 }
 
+// Guards against bytes after an answer that become the answer to the next request, and against a request that is lost
+// because it is sent over a connection that the server has closed or reset, or whose last answer was broken off.
+TEST_CASE_METHOD(
+    http_fixture,
+    "http client, connection with bytes after an answer or ended by the server, does not harm the next request",
+    "[net]")
+{
+    struct faulty_connection {
+        scripted_answer answer;
+        bool isReused;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string trailing = head + "Content-Length: 8\r\n\r\ntrailing";
+    const std::string sized = head + "Content-Length: 4\r\n\r\nbody";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+    const std::vector<faulty_connection> connections{{{{sized}}, true},
+                                                     {{{sized + trailing}}, false},
+                                                     {{{sized, trailing}}, false},
+                                                     {{{sized, std::string(300'000, 'x')}}, false},
+                                                     {{{sized}, connection_end::close}, false},
+                                                     {{{sized}, connection_end::reset}, false},
+                                                     // Bytes that arrive with the last chunk are discarded.
+                                                     {{{chunked + "0\r\n\r\n" + trailing}}, true},
+                                                     {{{chunked + "0\r\n\r\n", trailing}}, false},
+                                                     {{{chunked, "no chunk\r\n"}}, false},
+                                                     {{{head + "\r\nbo", "dy"}, connection_end::close}, false}};
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        INFO("connection " << index);
+        const faulty_connection &each = connections[index];
+        int requests = 0;
+        scripted_server server([&](const std::string & /*request*/) {
+            return ++requests == 1 ? each.answer : scripted_answer{{head + "Content-Length: 3\r\n\r\nown"}};
+        });
+        m_address = server.address();
+        http_client_request request;
+        request.target = "/";
+        m_body.clear();
+        runRequest(request);
+        CHECK(m_body == "body");
+        // The trailing bytes arrive in the meantime.
+        m_loop.schedule(std::chrono::milliseconds(120), [this] { m_loop.stop(); });
+        m_loop.run();
+        m_body.clear();
+        runRequest(request);
+        CHECK(m_result == transfer_result::complete);
+        CHECK(m_body == "own");
+        const std::size_t second = each.isReused ? 0 : 1;
+        CHECK(server.connectionsOfRequests() == std::vector<std::size_t>{0, second});
+    }
+}
+
 // Guards against a body lost between server and client.
 TEST_CASE_METHOD(http_fixture, "http server, post, answers with the body", "[net]")
 {
