Reset the connection of an HTTP/1.0 caller whose answer is broken off

What callers saw: a caller that speaks HTTP/1.0 and whose stream was broken off got an orderly end of the connection, as after a whole stream. Callers of HTTP/1.1, also with "Connection: close", were not affected: their last chunk is missing.

Cause: without chunks, only the way in which the connection ends tells a whole answer from a broken one, and libmicrohttpd closes the connection in the same way after both.

Why the fix works: for a caller of HTTP/1.0, the server resets the connection before it reports the error to libmicrohttpd. Events that the caller has not received yet may be lost with it.

--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -22,6 +22,8 @@
 #include <functional>
 #include <iterator>
 #include <set>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace crocuslane {
@@ -133,9 +135,9 @@
     {
     }
 
-    MHD_Connection *connection() const
+    int socket() const
     {
-        return m_connection;
+        return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     }
 
     const http_request &request() const override
@@ -229,6 +231,8 @@
     }
 
     http_request content;
+    /// The client takes an answer of unknown length in chunks; otherwise the answer ends with the connection.
+    bool hasChunks = true;
     answer_phase phase = answer_phase::waiting;
     std::uint32_t status = 200;
     header_list headers;
@@ -244,6 +248,15 @@
     std::unique_ptr<close_watcher> watcher;
 
 private:
+    /// libmicrohttpd closes the connection in the same way after a whole and after a broken answer.
+    void resetConnection()
+    {
+        // Connecting to no address ends a TCP connection with a reset.
+        sockaddr nobody{};
+        nobody.sa_family = AF_UNSPEC;
+        std::ignore = ::connect(socket(), &nobody, sizeof nobody);
+    }
+
     static ssize_t readStream(void *self, std::uint64_t /*position*/, char *buffer, std::size_t size)
     {
         auto &exchange = *static_cast<connection_exchange *>(self);
@@ -254,6 +267,9 @@
             return static_cast<ssize_t>(count);
         }
         if (exchange.isAborted) {
+            if (!exchange.hasChunks) {
+                exchange.resetConnection();
+            }
             return MHD_CONTENT_READER_END_WITH_ERROR;
         }
         if (exchange.isFinished) {
@@ -400,6 +416,7 @@
     MHD_Result handleAccess(MHD_Connection *connection,
                             const char *url,
                             const char *method,
+                            std::string_view version,
                             const char *data,
                             std::size_t *dataSize,
                             void **requestState)
@@ -410,6 +427,7 @@
             exchange.isStarted = true;
             exchange.content.method = method;
             exchange.content.path = url;
+            exchange.hasChunks = version != MHD_HTTP_VERSION_1_0;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.content);
             MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &exchange.content.query);
             return MHD_YES;
@@ -451,10 +469,8 @@
 
     void watchForClose(const std::shared_ptr<connection_exchange> &exchange)
     {
-        const MHD_ConnectionInfo *info =
-            MHD_get_connection_info(exchange->connection(), MHD_CONNECTION_INFO_CONNECTION_FD);
         exchange->watcher = std::make_unique<close_watcher>(
-            loop.reactor(), info->connect_fd, [this, weakExchange = std::weak_ptr(exchange)] {
+            loop.reactor(), exchange->socket(), [this, weakExchange = std::weak_ptr(exchange)] {
                 if (const std::shared_ptr<connection_exchange> closed = weakExchange.lock()) {
                     closed->abort();
                     scheduleRun();
@@ -499,12 +515,13 @@
                                      MHD_Connection *connection,
                                      const char *url,
                                      const char *method,
-                                     const char * /*version*/,
+                                     const char *version,
                                      const char *data,
                                      std::size_t *dataSize,
                                      void **requestState)
     {
-        return static_cast<private_data *>(self)->handleAccess(connection, url, method, data, dataSize, requestState);
+        return static_cast<private_data *>(self)->handleAccess(
+            connection, url, method, version, data, dataSize, requestState);
     }
 
     static void
