Split the HTTP server into files with one job each

The state that only the exchange uses is private now. No change of behaviour: the functions are moved as they were, and the three lines that end an exchange became connection_exchange::close().

--- /dev/null
+++ b/src/libs/net/connection_exchange.cpp
@@ -0,0 +1,157 @@
+#include "net/connection_exchange.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace crocuslane {
+
+namespace {
+
+constexpr std::size_t streamBlockBytes = 16384;
+
+} // namespace
+
+connection_exchange::connection_exchange(MHD_Connection *connection, bool &needsRun)
+    : m_connection(connection)
+    , m_needsRun(needsRun)
+{
+}
+
+const http_request &connection_exchange::request() const
+{
+    return content;
+}
+
+void connection_exchange::respond(std::uint32_t status, header_list headers, std::string body)
+{
+    if (phase != answer_phase::waiting) {
+        return;
+    }
+    m_status = status;
+    m_headers = std::move(headers);
+    m_pending = std::move(body);
+    m_isFinished = true;
+    phase = answer_phase::complete;
+    resume();
+}
+
+void connection_exchange::begin(std::uint32_t status, header_list headers)
+{
+    if (phase != answer_phase::waiting) {
+        return;
+    }
+    m_status = status;
+    m_headers = std::move(headers);
+    phase = answer_phase::streaming;
+    resume();
+}
+
+void connection_exchange::send(std::string_view data)
+{
+    if (phase == answer_phase::closed || m_isFinished) {
+        return;
+    }
+    m_pending += data;
+    resume();
+}
+
+void connection_exchange::finish()
+{
+    if (phase == answer_phase::closed) {
+        return;
+    }
+    m_isFinished = true;
+    resume();
+}
+
+void connection_exchange::abort()
+{
+    if (phase == answer_phase::closed) {
+        return;
+    }
+    isAborted = true;
+    resume();
+}
+
+int connection_exchange::socket() const
+{
+    return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+void connection_exchange::suspend()
+{
+    m_isSuspended = true;
+    MHD_suspend_connection(m_connection);
+}
+
+void connection_exchange::resume()
+{
+    if (!m_isSuspended) {
+        return;
+    }
+    m_isSuspended = false;
+    m_needsRun = true;
+    MHD_resume_connection(m_connection);
+}
+
+MHD_Result connection_exchange::queueAnswer()
+{
+    MHD_Response *response = nullptr;
+    if (phase == answer_phase::complete) {
+        response = MHD_create_response_from_buffer(m_pending.size(), m_pending.data(), MHD_RESPMEM_MUST_COPY);
+    } else {
+        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &readStream, this, nullptr);
+    }
+    phase = answer_phase::queued;
+    for (const header_field &field : m_headers) {
+        MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
+    }
+    const MHD_Result result = MHD_queue_response(m_connection, m_status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+void connection_exchange::close()
+{
+    phase = answer_phase::closed;
+    m_isSuspended = false;
+    if (watcher) {
+        watcher->stop();
+    }
+}
+
+// libmicrohttpd closes the connection in the same way after a whole and after a broken answer.
+void connection_exchange::resetConnection()
+{
+    // Connecting to no address ends a TCP connection with a reset.
+    sockaddr nobody{};
+    nobody.sa_family = AF_UNSPEC;
+    std::ignore = ::connect(socket(), &nobody, sizeof nobody);
+}
+
+ssize_t connection_exchange::readStream(void *self, std::uint64_t /*position*/, char *buffer, std::size_t size)
+{
+    auto &exchange = *static_cast<connection_exchange *>(self);
+    if (!exchange.m_pending.empty()) {
+        const std::size_t count = std::min(size, exchange.m_pending.size());
+        std::copy_n(exchange.m_pending.data(), count, buffer);
+        exchange.m_pending.erase(0, count);
+        return static_cast<ssize_t>(count);
+    }
+    if (exchange.isAborted) {
+        if (!exchange.hasChunks) {
+            exchange.resetConnection();
+        }
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (exchange.m_isFinished) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    exchange.suspend();
+    return 0;
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/libs/net/connection_exchange.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "net/close_watcher.h"
+#include "net/http_server.h"
+
+#include <microhttpd.h>
+
+#include <memory>
+#include <string>
+
+namespace crocuslane {
+
+enum class answer_phase {
+    /// No answer has been given yet.
+    waiting,
+    /// A complete answer is ready.
+    complete,
+    /// An answer of unknown length has begun.
+    streaming,
+    /// libmicrohttpd has the response.
+    queued,
+    /// The request has ended.
+    closed,
+};
+
+/// One request on a connection of libmicrohttpd. The connection is suspended while there is nothing to send.
+class connection_exchange : public http_exchange
+{
+public:
+    /// @p needsRun is set when libmicrohttpd has to run again.
+    connection_exchange(MHD_Connection *connection, bool &needsRun);
+
+    const http_request &request() const override;
+    void respond(std::uint32_t status, header_list headers, std::string body) override;
+    void begin(std::uint32_t status, header_list headers) override;
+    void send(std::string_view data) override;
+    void finish() override;
+    void abort() override;
+
+    int socket() const;
+    void suspend();
+    void resume();
+    MHD_Result queueAnswer();
+    /// Must be called before libmicrohttpd closes the socket or reads the next request from it.
+    void close();
+
+    http_request content;
+    /// The client takes an answer of unknown length in chunks; otherwise the answer ends with the connection.
+    bool hasChunks = true;
+    answer_phase phase = answer_phase::waiting;
+    bool isStarted = false;
+    bool isPassedToHandler = false;
+    bool isAborted = false;
+    /// Watches for the end of the connection from the delivery to the handler to the end of the request.
+    std::unique_ptr<close_watcher> watcher;
+
+private:
+    void resetConnection();
+    static ssize_t readStream(void *self, std::uint64_t position, char *buffer, std::size_t size);
+
+    MHD_Connection *m_connection;
+    bool &m_needsRun;
+    std::uint32_t m_status = 200;
+    header_list m_headers;
+    std::string m_pending;
+    bool m_isFinished = false;
+    bool m_isSuspended = false;
+};
+
+} // namespace crocuslane
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,29 +1,22 @@
 #include "net/http_server.h"
 
+#include "net/connection_exchange.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
 #include "net/socket_address.h"
+#include "net/tls_identity.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <boost/leaf/error.hpp>
 #include <microhttpd.h>
-#include <openssl/err.h>
-#include <openssl/pem.h>
-#include <openssl/x509.h>
-
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <functional>
-#include <iterator>
 #include <set>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 namespace crocuslane {
@@ -33,7 +26,6 @@
 
 namespace {
 
-constexpr std::size_t streamBlockBytes = 16384;
 // libmicrohttpd may have to run again at once; the limit lets the loop call its other handlers in between.
 constexpr int maximumRunsPerIteration = 16;
 // GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
@@ -62,306 +54,6 @@
     return MHD_YES;
 }
 
-enum class answer_phase {
-    /// No answer has been given yet.
-    waiting,
-    /// A complete answer is ready.
-    complete,
-    /// An answer of unknown length has begun.
-    streaming,
-    /// libmicrohttpd has the response.
-    queued,
-    /// The request has ended.
-    closed,
-};
-
-/// Detects that the client closed a suspended connection, because libmicrohttpd doesn't read from it.
-class close_watcher : public ACE_Event_Handler
-{
-public:
-    close_watcher(ACE_Reactor &reactor, int socket, std::function<void()> onClosed)
-        : m_reactor(reactor)
-        , m_socket(socket)
-        , m_onClosed(std::move(onClosed))
-    {
-        m_isRegistered = m_reactor.register_handler(this, READ_MASK) == 0;
-    }
-
-    ~close_watcher() override
-    {
-        stop();
-    }
-
-    ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): name given by ACE
-    {
-        return m_socket;
-    }
-
-    int handle_input(ACE_HANDLE /*handle*/) override
-    {
-        char next = 0;
-        const ssize_t size = ::recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
-            return 0;
-        }
-        // The bytes of a pipelined request keep the descriptor readable, and a close after them can't be detected.
-        stop();
-        if (size <= 0) {
-            m_onClosed();
-        }
-        return 0;
-    }
-
-    void stop()
-    {
-        if (m_isRegistered) {
-            m_isRegistered = false;
-            m_reactor.remove_handler(this, READ_MASK | DONT_CALL);
-        }
-    }
-
-private:
-    ACE_Reactor &m_reactor;
-    int m_socket;
-    std::function<void()> m_onClosed;
-    bool m_isRegistered = false;
-};
-
-class connection_exchange : public http_exchange
-{
-public:
-    explicit connection_exchange(MHD_Connection *connection)
-        : m_connection(connection)
-    {
-    }
-
-    int socket() const
-    {
-        return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    }
-
-    const http_request &request() const override
-    {
-        return content;
-    }
-
-    void respond(std::uint32_t status, header_list headers, std::string body) override
-    {
-        if (phase != answer_phase::waiting) {
-            return;
-        }
-        this->status = status;
-        this->headers = std::move(headers);
-        pending = std::move(body);
-        isFinished = true;
-        phase = answer_phase::complete;
-        resume();
-    }
-
-    void begin(std::uint32_t status, header_list headers) override
-    {
-        if (phase != answer_phase::waiting) {
-            return;
-        }
-        this->status = status;
-        this->headers = std::move(headers);
-        phase = answer_phase::streaming;
-        resume();
-    }
-
-    void send(std::string_view data) override
-    {
-        if (phase == answer_phase::closed || isFinished) {
-            return;
-        }
-        pending += data;
-        resume();
-    }
-
-    void finish() override
-    {
-        if (phase == answer_phase::closed) {
-            return;
-        }
-        isFinished = true;
-        resume();
-    }
-
-    void abort() override
-    {
-        if (phase == answer_phase::closed) {
-            return;
-        }
-        isAborted = true;
-        resume();
-    }
-
-    void suspend()
-    {
-        isSuspended = true;
-        MHD_suspend_connection(m_connection);
-    }
-
-    void resume()
-    {
-        if (!isSuspended) {
-            return;
-        }
-        isSuspended = false;
-        *needsRun = true;
-        MHD_resume_connection(m_connection);
-    }
-
-    MHD_Result queueAnswer()
-    {
-        MHD_Response *response = nullptr;
-        if (phase == answer_phase::complete) {
-            response = MHD_create_response_from_buffer(pending.size(), pending.data(), MHD_RESPMEM_MUST_COPY);
-        } else {
-            response =
-                MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &readStream, this, nullptr);
-        }
-        phase = answer_phase::queued;
-        for (const header_field &field : headers) {
-            MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
-        }
-        const MHD_Result result = MHD_queue_response(m_connection, status, response);
-        MHD_destroy_response(response);
-        return result;
-    }
-
-    http_request content;
-    /// The client takes an answer of unknown length in chunks; otherwise the answer ends with the connection.
-    bool hasChunks = true;
-    answer_phase phase = answer_phase::waiting;
-    std::uint32_t status = 200;
-    header_list headers;
-    std::string pending;
-    bool isStarted = false;
-    bool isFinished = false;
-    bool isPassedToHandler = false;
-    bool isSuspended = false;
-    bool isAborted = false;
-    /// Flag of the server: libmicrohttpd has to run again.
-    bool *needsRun = nullptr;
-    /// Watches for the end of the connection from the delivery to the handler to the end of the request.
-    std::unique_ptr<close_watcher> watcher;
-
-private:
-    /// libmicrohttpd closes the connection in the same way after a whole and after a broken answer.
-    void resetConnection()
-    {
-        // Connecting to no address ends a TCP connection with a reset.
-        sockaddr nobody{};
-        nobody.sa_family = AF_UNSPEC;
-        std::ignore = ::connect(socket(), &nobody, sizeof nobody);
-    }
-
-    static ssize_t readStream(void *self, std::uint64_t /*position*/, char *buffer, std::size_t size)
-    {
-        auto &exchange = *static_cast<connection_exchange *>(self);
-        if (!exchange.pending.empty()) {
-            const std::size_t count = std::min(size, exchange.pending.size());
-            std::copy_n(exchange.pending.data(), count, buffer);
-            exchange.pending.erase(0, count);
-            return static_cast<ssize_t>(count);
-        }
-        if (exchange.isAborted) {
-            if (!exchange.hasChunks) {
-                exchange.resetConnection();
-            }
-            return MHD_CONTENT_READER_END_WITH_ERROR;
-        }
-        if (exchange.isFinished) {
-            return MHD_CONTENT_READER_END_OF_STREAM;
-        }
-        exchange.suspend();
-        return 0;
-    }
-
-    MHD_Connection *m_connection;
-};
-
-/// PEM texts. They must outlive the daemon, because libmicrohttpd keeps pointers to them.
-struct tls_identity {
-    std::string certificate;
-    std::string privateKey;
-};
-
-struct openssl_deleter {
-    void operator()(BIO *bio) const
-    {
-        BIO_free(bio);
-    }
-
-    void operator()(X509 *certificate) const
-    {
-        X509_free(certificate);
-    }
-
-    void operator()(EVP_PKEY *key) const
-    {
-        EVP_PKEY_free(key);
-    }
-};
-
-using bio_pointer = std::unique_ptr<BIO, openssl_deleter>;
-using certificate_pointer = std::unique_ptr<X509, openssl_deleter>;
-using key_pointer = std::unique_ptr<EVP_PKEY, openssl_deleter>;
-
-net_error tlsFileError(std::string_view role, const std::string &path, std::string_view cause)
-{
-    return {net_error_code::tls_file_invalid, std::string(role) + " file " + path + ": " + std::string(cause)};
-}
-
-leaf::result<std::string> readPemFile(std::string_view role, const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::string text{std::istreambuf_iterator<char>(file), {}};
-    if (!file.is_open() || text.empty()) {
-        return leaf::new_error(tlsFileError(role, path, "not readable or empty"));
-    }
-    return text;
-}
-
-bio_pointer makeBio(const std::string &text)
-{
-    return bio_pointer(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
-}
-
-// Without a callback, libcrypto would block the start and prompt for the passphrase of an encrypted key on the
-// terminal.
-int refusePassphrase(char * /*buffer*/, int /*size*/, int /*isWrite*/, void * /*data*/)
-{
-    return -1;
-}
-
-// Checks the files before MHD_start_daemon, which doesn't report the faulty one.
-leaf::result<tls_identity> readIdentity(const tls_files &files)
-{
-    tls_identity identity;
-    BOOST_LEAF_ASSIGN(identity.certificate, readPemFile("certificate", files.certificate));
-    BOOST_LEAF_ASSIGN(identity.privateKey, readPemFile("private key", files.privateKey));
-    const certificate_pointer certificate(
-        PEM_read_bio_X509(makeBio(identity.certificate).get(), nullptr, &refusePassphrase, nullptr));
-    const key_pointer key(
-        PEM_read_bio_PrivateKey(makeBio(identity.privateKey).get(), nullptr, &refusePassphrase, nullptr));
-    const bool isMatching = certificate && key && X509_check_private_key(certificate.get(), key.get()) == 1;
-    ERR_clear_error();
-    if (!certificate) {
-        return leaf::new_error(tlsFileError("certificate", files.certificate, "no certificate in PEM format"));
-    }
-    if (!key) {
-        return leaf::new_error(
-            tlsFileError("private key", files.privateKey, "no unencrypted private key in PEM format"));
-    }
-    if (!isMatching) {
-        return leaf::new_error(
-            tlsFileError("private key", files.privateKey, "does not match the certificate " + files.certificate));
-    }
-    return identity;
-}
-
 std::vector<MHD_OptionItem> tlsOptions(tls_identity &identity)
 {
     return {{MHD_OPTION_HTTPS_MEM_CERT, 0, identity.certificate.data()},
@@ -460,8 +152,7 @@
     void *beginRequest(MHD_Connection *connection, const char *target)
     {
         auto *sharedExchange =
-            new std::shared_ptr<connection_exchange>(std::make_shared<connection_exchange>(connection));
-        (*sharedExchange)->needsRun = &needsRun;
+            new std::shared_ptr<connection_exchange>(std::make_shared<connection_exchange>(connection, needsRun));
         (*sharedExchange)->content.target = target;
         openExchanges.insert(sharedExchange->get());
         return sharedExchange;
@@ -497,12 +188,7 @@
             return;
         }
         const std::shared_ptr<connection_exchange> exchange = *sharedExchange;
-        exchange->phase = answer_phase::closed;
-        exchange->isSuspended = false;
-        // Must stop before libmicrohttpd closes the socket or reads the next request from it.
-        if (exchange->watcher) {
-            exchange->watcher->stop();
-        }
+        exchange->close();
         openExchanges.erase(exchange.get());
         delete sharedExchange;
         *requestState = nullptr;
@@ -581,7 +267,7 @@
     unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     std::vector<MHD_OptionItem> options;
     if (!files.certificate.empty() && !files.privateKey.empty()) {
-        BOOST_LEAF_ASSIGN(d->identity, readIdentity(files));
+        BOOST_LEAF_ASSIGN(d->identity, readTlsIdentity(files));
         options = tlsOptions(d->identity);
         flags |= MHD_USE_TLS;
     }
