--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/curl_request.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
 #include "net/idle_sockets.h"
@@ -26,28 +27,6 @@
 // Lower statuses (1xx) are those of interim answers.
 constexpr std::uint32_t firstFinalStatus = 200;
 
-/// Appends @p fields, and removes the fields that libcurl would add by default.
-curl_slist *appendExactFields(curl_slist *list, const header_list &fields)
-{
-    for (const std::string_view defaultField : {"Accept", "Content-Type"}) {
-        const bool isGiven = findField(fields, defaultField) != nullptr;
-        if (!isGiven) {
-            list = curl_slist_append(list, (std::string(defaultField) + ":").c_str());
-        }
-    }
-    for (const header_field &field : fields) {
-        // In libcurl's lists, a name with a semicolon stands for a field with an empty value.
-        const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
-        list = curl_slist_append(list, line.c_str());
-    }
-    return list;
-}
-
-long toMilliseconds(duration value)
-{
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 } // namespace
 
 struct http_client::private_data {
@@ -446,15 +425,10 @@
 
     CURL *handle = transfer.handle;
     const http_client_request &content = transfer.request;
-    curl_easy_setopt(handle, CURLOPT_URL, ("http://" + content.address + "/").c_str());
-    // Sent as given: libcurl would normalise dot segments and spaces in the URL.
-    curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, content.target.c_str());
+    transfer.headers = setCurlRequest(handle, content);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &private_data::writeCallback);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     if (content.idleLimit.count() > 0 && !d->requiresFreshConnection(content.address)) {
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(content.idleLimit.count()));
     } else {
@@ -465,31 +439,6 @@
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &private_data::socketOptions);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &private_data::headerCallback);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(content.connectTimeout));
-    if (content.timeout > duration::zero()) {
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, toMilliseconds(content.timeout));
-    }
-    if (content.method == "POST" || !content.body.empty()) {
-        curl_easy_setopt(handle, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(content.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, content.body.data());
-        // Waiting for "100 Continue" would add a round trip to every large request.
-        transfer.headers = curl_slist_append(transfer.headers, "Expect:");
-    }
-    if (content.method == "HEAD") {
-        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
-    } else if (content.method != "GET" && content.method != "POST") {
-        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, content.method.c_str());
-    } else if (content.method == "GET" && !content.body.empty()) {
-        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "GET");
-    }
-    for (const std::string &header : content.headers) {
-        transfer.headers = curl_slist_append(transfer.headers, header.c_str());
-    }
-    if (content.exactFields) {
-        transfer.headers = appendExactFields(transfer.headers, *content.exactFields);
-    }
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
 
     const transfer_number number = transfer.number;
     d->transfers.emplace(number, std::move(created));
