--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,7 +1,9 @@
 #include "net/http_client.h"
 
+#include "net/curl_request.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
+#include "net/idle_sockets.h"
 #include "net/socket_set.h"
 
 #include <curl/curl.h>
@@ -25,28 +27,6 @@
 // Lower statuses (1xx) are those of interim answers.
 constexpr std::uint32_t firstFinalStatus = 200;
 
-/// Appends @p fields, and removes the fields that libcurl would add by default.
-curl_slist *appendExactFields(curl_slist *list, const header_list &fields)
-{
-    for (const std::string_view defaultField : {"Accept", "Content-Type"}) {
-        const bool isGiven = findField(fields, defaultField) != nullptr;
-        if (!isGiven) {
-            list = curl_slist_append(list, (std::string(defaultField) + ":").c_str());
-        }
-    }
-    for (const header_field &field : fields) {
-        // In libcurl's lists, a name with a semicolon stands for a field with an empty value.
-        const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
-        list = curl_slist_append(list, line.c_str());
-    }
-    return list;
-}
-
-long toMilliseconds(duration value)
-{
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 } // namespace
 
 struct http_client::private_data {
@@ -82,6 +62,17 @@
     {
         const int bits = (events.isReadable ? CURL_CSELECT_IN : 0) | (events.isWritable ? CURL_CSELECT_OUT : 0)
             | (events.hasError ? CURL_CSELECT_ERR : 0);
+        act(socket, bits);
+    }
+
+    void act(curl_socket_t socket, int bits)
+    {
+        // libcurl would take unread bytes as the answer to the request that it sends next over the connection. It only
+        // looks for the end of a connection before it reuses it.
+        if (hasUnassignedTransfers) {
+            hasUnassignedTransfers = false;
+            idleSockets.endReadable();
+        }
         int running = 0;
         curl_multi_socket_action(multi, socket, bits, &running);
     }
@@ -101,11 +92,18 @@
         for (const transfer_number number : std::exchange(startedInCallback, {})) {
             const auto found = transfers.find(number);
             if (found != transfers.end()) {
-                curl_multi_add_handle(multi, found->second->handle);
+                assignLater(*found->second);
             }
         }
     }
 
+    /// libcurl assigns a connection to the transfer in its next call.
+    void assignLater(const transfer &added)
+    {
+        hasUnassignedTransfers = true;
+        curl_multi_add_handle(multi, added.handle);
+    }
+
     void readResults()
     {
         int messagesLeft = 0;
@@ -120,16 +118,19 @@
     {
         char *pointer = nullptr;
         curl_easy_getinfo(handle, CURLINFO_PRIVATE, &pointer);
-        const auto number = reinterpret_cast<transfer *>(pointer)->number;
+        const transfer &ended = *reinterpret_cast<transfer *>(pointer);
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         transfer_result result = transfer_result::complete;
         if (code != CURLE_OK) {
-            const transfer &failed = *reinterpret_cast<transfer *>(pointer);
-            result = failed.hasStartedSending ? transfer_result::lost : transfer_result::not_connected;
-            recordFailure(failed);
+            result = ended.hasStartedSending ? transfer_result::lost : transfer_result::not_connected;
+            recordFailure(ended);
+        } else if (!ended.isHeadComplete) {
+            // libcurl reports success when the connection is closed inside the head.
+            result = transfer_result::lost;
+            status = 0;
         }
-        finish(number, result, code == CURLE_OK || status > 0 ? static_cast<std::uint32_t>(status) : 0);
+        finish(ended.number, result, static_cast<std::uint32_t>(status));
     }
 
     /// When a reused connection failed, the other idle connections to the address have probably failed for the same
@@ -233,8 +234,7 @@
         }
         multiTimer = loop.schedule(std::chrono::milliseconds(milliseconds), [this] {
             multiTimer.reset();
-            int running = 0;
-            curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            act(CURL_SOCKET_TIMEOUT, 0);
             finishIteration();
         });
     }
@@ -242,14 +242,16 @@
     static int
     socketCallback(CURL * /*handle*/, curl_socket_t socket, int pollEvents, void *self, void * /*socketData*/)
     {
-        socket_set &sockets = static_cast<private_data *>(self)->sockets;
+        auto &owner = *static_cast<private_data *>(self);
         if (pollEvents == CURL_POLL_REMOVE) {
-            sockets.unwatch(socket);
+            owner.sockets.unwatch(socket);
+            owner.idleSockets.add(socket);
             return 0;
         }
-        sockets.watch(socket,
-                      pollEvents == CURL_POLL_IN || pollEvents == CURL_POLL_INOUT,
-                      pollEvents == CURL_POLL_OUT || pollEvents == CURL_POLL_INOUT);
+        owner.idleSockets.remove(socket);
+        owner.sockets.watch(socket,
+                            pollEvents == CURL_POLL_IN || pollEvents == CURL_POLL_INOUT,
+                            pollEvents == CURL_POLL_OUT || pollEvents == CURL_POLL_INOUT);
         return 0;
     }
 
@@ -371,6 +373,8 @@
 
     event_loop &loop;
     socket_set sockets;
+    idle_sockets idleSockets;
+    bool hasUnassignedTransfers = false;
     CURLM *multi = nullptr;
     transfer_number lastNumber = 0;
     std::map<transfer_number, std::unique_ptr<transfer>> transfers;
@@ -421,15 +425,10 @@
 
     CURL *handle = transfer.handle;
     const http_client_request &content = transfer.request;
-    curl_easy_setopt(handle, CURLOPT_URL, ("http://" + content.address + "/").c_str());
-    // Sent as given: libcurl would normalise dot segments and spaces in the URL.
-    curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, content.target.c_str());
+    transfer.headers = setCurlRequest(handle, content);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &private_data::writeCallback);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     if (content.idleLimit.count() > 0 && !d->requiresFreshConnection(content.address)) {
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(content.idleLimit.count()));
     } else {
@@ -440,38 +439,13 @@
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &private_data::socketOptions);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &private_data::headerCallback);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, toMilliseconds(content.connectTimeout));
-    if (content.timeout > duration::zero()) {
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, toMilliseconds(content.timeout));
-    }
-    if (content.method == "POST" || !content.body.empty()) {
-        curl_easy_setopt(handle, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(content.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, content.body.data());
-        // Waiting for "100 Continue" would add a round trip to every large request.
-        transfer.headers = curl_slist_append(transfer.headers, "Expect:");
-    }
-    if (content.method == "HEAD") {
-        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
-    } else if (content.method != "GET" && content.method != "POST") {
-        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, content.method.c_str());
-    } else if (content.method == "GET" && !content.body.empty()) {
-        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "GET");
-    }
-    for (const std::string &header : content.headers) {
-        transfer.headers = curl_slist_append(transfer.headers, header.c_str());
-    }
-    if (content.exactFields) {
-        transfer.headers = appendExactFields(transfer.headers, *content.exactFields);
-    }
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
 
     const transfer_number number = transfer.number;
     d->transfers.emplace(number, std::move(created));
     if (d->isInCallback) {
         d->startedInCallback.push_back(number);
     } else {
-        curl_multi_add_handle(d->multi, handle);
+        d->assignLater(transfer);
     }
     if (content.silenceLimit > duration::zero()) {
         d->checkSilence(transfer);
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -2,6 +2,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "support/endless_server.h"
+#include "support/scripted_server.h"
 
 #include <ace/Reactor.h>
 #include <boost/leaf/handle_errors.hpp>
@@ -188,6 +189,95 @@
     }
 }
 
+// Guards against an answer that is taken as complete although its head, its length or its last chunk is missing, or its
+// connection was reset; and against one refused because it has neither a length nor chunks.
+TEST_CASE_METHOD(http_fixture, "http client, answer ends in every way, is complete only when whole", "[net]")
+{
+    struct ended_answer {
+        scripted_answer answer;
+        transfer_result result;
+        std::string body;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<ended_answer> answers{
+        {{{head + "\r\nwhole ", "body"}, connection_end::close}, transfer_result::complete, "whole body"},
+        {{{head + "\r\n"}, connection_end::close}, transfer_result::complete, ""},
+        {{{"HTTP/1.0 200 OK\r\n\r\nwhole ", "body"}, connection_end::close}, transfer_result::complete, "whole body"},
+        {{{head + "\r\nhalf ", "a body"}, connection_end::reset}, transfer_result::lost, "half a body"},
+        {{{head + "\r\n"}, connection_end::reset}, transfer_result::lost, ""},
+        {{{head + "Content-Length: 9\r\n\r\n", "half"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{chunkedHead + "4\r\nhalf\r\n"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{chunkedHead + "4\r\nhalf\r\n", "0\r\n"}, connection_end::close}, transfer_result::lost, "half"},
+        {{{head + "X-Field: va"}, connection_end::close}, transfer_result::lost, ""},
+        {{{head}, connection_end::close}, transfer_result::lost, ""},
+        {{{"HTTP/1.1 100 Continue\r\n\r\n"}, connection_end::close}, transfer_result::lost, ""},
+        {{{}, connection_end::close}, transfer_result::lost, ""}};
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        INFO("answer " << index);
+        const ended_answer &each = answers[index];
+        scripted_server server([&each](const std::string & /*request*/) { return each.answer; });
+        http_client_request request;
+        m_address = server.address();
+        request.target = "/";
+        m_body.clear();
+        runRequest(std::move(request));
+        CHECK(m_result == each.result);
+        CHECK(m_body == each.body);
+    }
+}
+
+// Guards against bytes after an answer that become the answer to the next request, and against a request that is lost
+// because it is sent over a connection that the server has closed or reset, or whose last answer was broken off.
+TEST_CASE_METHOD(
+    http_fixture,
+    "http client, connection with bytes after an answer or ended by the server, does not harm the next request",
+    "[net]")
+{
+    struct faulty_connection {
+        scripted_answer answer;
+        bool isReused;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string trailing = head + "Content-Length: 8\r\n\r\ntrailing";
+    const std::string sized = head + "Content-Length: 4\r\n\r\nbody";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+    const std::vector<faulty_connection> connections{{{{sized}}, true},
+                                                     {{{sized + trailing}}, false},
+                                                     {{{sized, trailing}}, false},
+                                                     {{{sized, std::string(300'000, 'x')}}, false},
+                                                     {{{sized}, connection_end::close}, false},
+                                                     {{{sized}, connection_end::reset}, false},
+                                                     // Bytes that arrive with the last chunk are discarded.
+                                                     {{{chunked + "0\r\n\r\n" + trailing}}, true},
+                                                     {{{chunked + "0\r\n\r\n", trailing}}, false},
+                                                     {{{chunked, "no chunk\r\n"}}, false},
+                                                     {{{head + "\r\nbo", "dy"}, connection_end::close}, false}};
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        INFO("connection " << index);
+        const faulty_connection &each = connections[index];
+        int requests = 0;
+        scripted_server server([&](const std::string & /*request*/) {
+            return ++requests == 1 ? each.answer : scripted_answer{{head + "Content-Length: 3\r\n\r\nown"}};
+        });
+        m_address = server.address();
+        http_client_request request;
+        request.target = "/";
+        m_body.clear();
+        runRequest(request);
+        CHECK(m_body == "body");
+        // The trailing bytes arrive in the meantime.
+        m_loop.schedule(std::chrono::milliseconds(120), [this] { m_loop.stop(); });
+        m_loop.run();
+        m_body.clear();
+        runRequest(request);
+        CHECK(m_result == transfer_result::complete);
+        CHECK(m_body == "own");
+        const std::size_t second = each.isReused ? 0 : 1;
+        CHECK(server.connectionsOfRequests() == std::vector<std::size_t>{0, second});
+    }
+}
+
 // Guards against a body lost between server and client.
 TEST_CASE_METHOD(http_fixture, "http server, post, answers with the body", "[net]")
 {
