--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -129,7 +129,7 @@
 
 /// Counts of answers by their delay relative to the delay to expect, in steps of half an octave; counts saturate.
 struct delay_histogram {
-    static constexpr std::size_t size = 16;
+    static constexpr std::size_t size = 24;
 
     std::array<std::uint32_t, size> counts{};
 };
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -382,8 +382,8 @@
   uint16_t new_failures_;
   uint16_t old_answers_;
   uint16_t old_failures_;
-  uint8_t new_delays_[16];
-  uint8_t old_delays_[16];
+  uint8_t new_delays_[24];
+  uint8_t old_delays_[24];
 
  public:
   struct Traits;
@@ -405,7 +405,7 @@
         new_delays_(),
         old_delays_() {
   }
-  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _old_answers, uint16_t _old_failures, flatbuffers::span<const uint8_t, 16> _new_delays, flatbuffers::span<const uint8_t, 16> _old_delays)
+  version_route_counts(uint32_t _route, uint16_t _new_answers, uint16_t _new_failures, uint16_t _old_answers, uint16_t _old_failures, flatbuffers::span<const uint8_t, 24> _new_delays, flatbuffers::span<const uint8_t, 24> _old_delays)
       : route_(flatbuffers::EndianScalar(_route)),
         new_answers_(flatbuffers::EndianScalar(_new_answers)),
         new_failures_(flatbuffers::EndianScalar(_new_failures)),
@@ -429,14 +429,14 @@
   uint16_t old_failures() const {
     return flatbuffers::EndianScalar(old_failures_);
   }
-  const flatbuffers::Array<uint8_t, 16> *new_delays() const {
+  const flatbuffers::Array<uint8_t, 24> *new_delays() const {
     return &flatbuffers::CastToArray(new_delays_);
   }
-  const flatbuffers::Array<uint8_t, 16> *old_delays() const {
+  const flatbuffers::Array<uint8_t, 24> *old_delays() const {
     return &flatbuffers::CastToArray(old_delays_);
   }
 };
-FLATBUFFERS_STRUCT_END(version_route_counts, 44);
+FLATBUFFERS_STRUCT_END(version_route_counts, 60);
 
 struct version_route_counts::Traits {
   using type = version_route_counts;
--- a/src/plugins/rollouts/delay_comparison.cpp
+++ b/src/plugins/rollouts/delay_comparison.cpp
@@ -17,19 +17,6 @@
 // Two octaves: runners of a new version start with empty prompt caches, which alone makes answers about twice as slow.
 constexpr std::size_t slowBucketsBeyondMedian = 4;
 
-std::size_t medianBucket(const delay_histogram &histogram)
-{
-    const std::uint32_t half = countFrom(histogram, 0) / 2;
-    std::uint32_t count = 0;
-    for (std::size_t bucket = 0; bucket < delay_histogram::size; ++bucket) {
-        count += histogram.counts[bucket];
-        if (count > half) {
-            return bucket;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 std::size_t delayBucket(const version_observation &observation)
@@ -51,12 +38,23 @@
     return histogram;
 }
 
-std::size_t firstSlowBucket(const delay_histogram &usual)
+std::optional<std::size_t> medianBucket(const delay_histogram &usual)
 {
-    if (countFrom(usual, 0) < minimumSamples) {
-        return delay_histogram::size;
+    const std::uint32_t total = countFrom(usual, 0);
+    if (total < minimumSamples) {
+        return std::nullopt;
     }
-    return std::min(medianBucket(usual) + slowBucketsBeyondMedian, delay_histogram::size - 1);
+    std::size_t bucket = 0;
+    for (std::uint32_t count = usual.counts[0]; 2 * count <= total; count += usual.counts[bucket]) {
+        ++bucket;
+    }
+    return bucket;
+}
+
+std::size_t firstSlowBucket(const delay_histogram &usual)
+{
+    const std::optional<std::size_t> median = medianBucket(usual);
+    return median ? std::min(*median + slowBucketsBeyondMedian, delay_histogram::size) : delay_histogram::size;
 }
 
 std::uint32_t countFrom(const delay_histogram &histogram, std::size_t first)
--- a/src/plugins/rollouts/tests/version_comparison_test.cpp
+++ b/src/plugins/rollouts/tests/version_comparison_test.cpp
@@ -168,3 +168,13 @@
     }
     CHECK(m_comparison.hasRegressed());
 }
+
+// Guards against a version that is slow on top of old versions whose answers are slow already, as under overload.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "comparison, old answers take a second and new ones eight times that, has regressed",
+                 "[rollouts]")
+{
+    add(false, 20, false, 1200, 0);
+    add(true, 12, false, 9600, 0);
+    CHECK(m_comparison.hasRegressed());
+}
--- a/src/plugins/rollouts/version_comparison.h
+++ b/src/plugins/rollouts/version_comparison.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocuslane {
@@ -20,6 +21,8 @@
     void setEvidence(const version_evidence &evidence);
     /// Answers that this VM received.
     std::vector<version_evidence::route_counts> ownCounts() const;
+    /// Answers from now on are also judged without those before, so that good ones don't hide a change.
+    void beginCutover();
     /// True when the new version fails clearly more often, or answers slowly clearly more often, than the old ones.
     bool hasRegressed() const;
     /// Answers of the new version, failures included.
@@ -34,11 +37,15 @@
     static void add(counts_by_route &total, const version_evidence::route_counts &counts);
     counts_by_route sumByRoute() const;
     version_evidence::route_counts sum() const;
+    static version_evidence::route_counts sumOf(const counts_by_route &routes);
+    static bool hasRegressedOnAny(const counts_by_route &routes);
     /// The caller or a deadline ended the attempt, and by then an answer would have been slow.
     bool isOverdue(const version_observation &observation) const;
 
     counts_by_route m_own;
-    std::map<vm_id, std::vector<version_evidence::route_counts>> m_others;
+    counts_by_route m_beforeCutover;
+    /// By VM and incarnation.
+    std::map<std::pair<vm_id, std::uint64_t>, std::vector<version_evidence::route_counts>> m_others;
 };
 
 } // namespace crocuslane
