Complete a roll-out only on answers since the cutover

The exception for idle services is gone: an order without answers is rolled back. The completion needs twelve answers since the cutover, five at the latest time, or the order is rolled back. Evidence is stored by VM and incarnation, and that of earlier orders is removed. The first part of the cutover moves a quarter of the requests for 1.5 s instead of 40 in 100 for 1.2 s.

--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -18,6 +18,8 @@
     };
     mode kind = mode::any;
     std::string version;
+    /// The version is on trial: requests use the others while no runner of it has capacity.
+    bool isTrial = false;
 
     bool allows(const std::string &candidate) const
     {
--- a/src/plugins/rollouts/evidence_exchange.cpp
+++ b/src/plugins/rollouts/evidence_exchange.cpp
@@ -12,15 +12,20 @@
 
 } // namespace
 
-// An order replaces the one before it. A VM that was restarted counts from zero again; incarnations grow with time.
+// A VM that was restarted counts from zero again; what it counted before still holds.
+evidence_exchange::key evidence_exchange::keyOf(const version_evidence &entry)
+{
+    return {entry.service, entry.vm, entry.incarnation};
+}
+
 evidence_exchange::entry_version evidence_exchange::versionOf(const version_evidence &entry)
 {
-    return {entry.orderPosition, entry.incarnation, entry.counter};
+    return {entry.orderPosition, entry.counter};
 }
 
 bool evidence_exchange::store(const version_evidence &entry)
 {
-    const key id{entry.service, entry.vm};
+    const key id = keyOf(entry);
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
         return m_entries.size() < maximumEntries && m_entries.emplace(id, entry).second;
@@ -39,7 +44,7 @@
         if (store(entry)) {
             added.push_back(entry);
         }
-        const key id{entry.service, entry.vm};
+        const key id = keyOf(entry);
         if (m_entries.contains(id)) {
             entry_version &known = m_versionsByPeer[peer][id];
             known = std::max(known, versionOf(entry));
@@ -75,16 +80,22 @@
     }
 }
 
-std::vector<version_evidence>
-evidence_exchange::entriesOf(const service_id &service, std::uint64_t orderPosition, const vm_id &self) const
+std::vector<version_evidence> evidence_exchange::entriesOf(const service_id &service, std::uint64_t orderPosition) const
 {
     std::vector<version_evidence> entries;
     for (const auto &[id, entry] : m_entries) {
-        if (id.service == service && entry.orderPosition == orderPosition && id.vm != self) {
+        if (id.service == service && entry.orderPosition == orderPosition) {
             entries.push_back(entry);
         }
     }
     return entries;
 }
 
+void evidence_exchange::removeBefore(const service_id &service, std::uint64_t orderPosition)
+{
+    std::erase_if(m_entries, [&](const auto &each) {
+        return each.first.service == service && each.second.orderPosition < orderPosition;
+    });
+}
+
 } // namespace crocuslane
--- a/src/plugins/rollouts/evidence_exchange.h
+++ b/src/plugins/rollouts/evidence_exchange.h
@@ -20,25 +20,27 @@
     void connected(const vm_id &peer);
     /// Sends each of @p peers what it doesn't have.
     void runRound(const std::vector<vm_id> &peers, action_list &actions);
-    /// Entries of one order from other VMs than @p self.
-    std::vector<version_evidence>
-    entriesOf(const service_id &service, std::uint64_t orderPosition, const vm_id &self) const;
+    /// Entries of one order.
+    std::vector<version_evidence> entriesOf(const service_id &service, std::uint64_t orderPosition) const;
+    /// Removes the entries of the orders before @p orderPosition.
+    void removeBefore(const service_id &service, std::uint64_t orderPosition);
 
 private:
     struct key {
         service_id service;
         vm_id vm;
+        std::uint64_t incarnation = 0;
 
         auto operator<=>(const key &) const = default;
     };
     struct entry_version {
         std::uint64_t orderPosition = 0;
-        std::uint64_t incarnation = 0;
         std::uint64_t counter = 0;
 
         auto operator<=>(const entry_version &) const = default;
     };
 
+    static key keyOf(const version_evidence &entry);
     static entry_version versionOf(const version_evidence &entry);
 
     std::map<key, version_evidence> m_entries;
--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -19,15 +19,14 @@
 constexpr double canarySessionShare = 0.12;
 constexpr double lateCanarySessionShare = 0.25;
 // A version that turns bad under load shows it at this share of the requests before all of them depend on it.
-constexpr double partialCutoverShare = 0.4;
-constexpr std::chrono::milliseconds partialCutover{1200};
+constexpr double partialCutoverShare = 0.25;
+constexpr std::chrono::milliseconds partialCutover{1500};
 // Fractions of the exposure limit that the canary phase uses; the rest covers the time from the cutover to a rollback.
 constexpr double canaryFractionOfShare = 0.4;
 constexpr double canaryFractionOfAllowance = 0.4;
-// Answers of the new version without which there is no cutover.
+// Answers of the new version without which there is no cutover, and as many again before the completion.
 constexpr std::uint64_t minimumAnswers = 12;
 constexpr std::uint64_t minimumAnswersWhenLate = 5;
-constexpr double idleFractionOfAllowance = 0.5;
 // By this time after the cutover, every VM with a connection to the platform has read its record.
 constexpr std::chrono::milliseconds minimumCutover{2000};
 constexpr std::uint64_t jitterMilliseconds = 400;
@@ -70,6 +69,9 @@
         // A VM that has just started reads a record that is older than its own view of the order.
         const bool isEarlier = now < timeAt(sessionCanaryFraction);
         m_cutoverAt = isEarlier ? now - partialCutover : now;
+        m_cutoverReadAt = now;
+        m_answersBeforeCutover = m_comparison.newAnswers();
+        m_comparison.beginCutover();
     }
     m_phase = phase;
 }
@@ -84,12 +86,12 @@
 
 version_rule rollout::onlyNew() const
 {
-    return {version_rule::mode::only, m_order.target};
+    return {version_rule::mode::only, m_order.target, m_phase != rollout_phase::completed};
 }
 
 version_rule rollout::onlyOld() const
 {
-    return {version_rule::mode::except, m_order.target};
+    return {version_rule::mode::except, m_order.target, false};
 }
 
 version_rule rollout::choose(const std::string &session, std::size_t vmCount, steady_time now)
@@ -172,7 +174,7 @@
     return m_newObservations;
 }
 
-std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle, std::size_t vmCount) const
+std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle) const
 {
     if (isFinal() || now < m_nextRecordAt) {
         return std::nullopt;
@@ -180,20 +182,13 @@
     if (m_hasRegressed) {
         return rollout_phase::rolled_back;
     }
-    if (m_phase == rollout_phase::canary) {
-        return phaseAfterCanary(now, vmCount);
-    }
-    const bool isDrained = isOldVersionIdle && now >= m_cutoverAt + minimumCutover + m_phaseJitter;
-    const steady_time latest = std::max<steady_time>(timeAt(latestCompletionFraction), m_cutoverAt + minimumCutover);
-    if (isDrained || now >= latest + m_phaseJitter) {
-        return rollout_phase::completed;
-    }
-    return std::nullopt;
+    return m_phase == rollout_phase::canary ? phaseAfterCanary(now) : phaseAfterCutover(now, isOldVersionIdle);
 }
 
-std::optional<rollout_phase> rollout::phaseAfterCanary(steady_time now, std::size_t vmCount) const
+std::optional<rollout_phase> rollout::phaseAfterCanary(steady_time now) const
 {
-    if (now >= timeAt(cutoverFraction) + m_phaseJitter && hasEvidence(now, vmCount)) {
+    const std::uint64_t needed = now >= timeAt(lateCutoverFraction) ? minimumAnswersWhenLate : minimumAnswers;
+    if (now >= timeAt(cutoverFraction) + m_phaseJitter && m_comparison.newAnswers() >= needed) {
         return rollout_phase::cutover;
     }
     // A version of which nothing is known is not better than a bad one.
@@ -206,14 +201,18 @@
     return std::nullopt;
 }
 
-bool rollout::hasEvidence(steady_time now, std::size_t vmCount) const
+std::optional<rollout_phase> rollout::phaseAfterCutover(steady_time now, bool isOldVersionIdle) const
 {
-    const bool isLate = now >= timeAt(lateCutoverFraction);
-    if (m_comparison.newAnswers() >= (isLate ? minimumAnswersWhenLate : minimumAnswers)) {
-        return true;
+    const std::uint64_t answers = m_comparison.newAnswers();
+    const std::uint64_t added = answers - std::min(answers, m_answersBeforeCutover);
+    const steady_time earliest = m_cutoverReadAt + minimumCutover;
+    if (isOldVersionIdle && added >= minimumAnswers && now >= earliest + m_phaseJitter) {
+        return rollout_phase::completed;
+    }
+    if (now < std::max<steady_time>(timeAt(latestCompletionFraction), earliest) + m_phaseJitter) {
+        return std::nullopt;
     }
-    // A service that hardly gets requests can't exceed the limit either.
-    return static_cast<double>(m_requests * vmCount) < idleFractionOfAllowance * m_settings.exposureAllowance;
+    return added >= minimumAnswersWhenLate ? rollout_phase::completed : rollout_phase::rolled_back;
 }
 
 std::string rollout::describeEvidence() const
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -32,9 +32,8 @@
     std::vector<version_evidence::route_counts> ownCounts() const;
     /// Number of observations of the new version; grows with each one.
     std::uint64_t newObservations() const;
-    /// The phase that this VM should record now; nothing while the current phase continues. @p vmCount VMs receive the
-    /// requests of the service.
-    std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle, std::size_t vmCount) const;
+    /// The phase that this VM should record now; nothing while the current phase continues.
+    std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle) const;
     /// version_comparison::describe()
     std::string describeEvidence() const;
     /// Earliest time at which phaseToRecord() may return a phase; the maximum once the phase is final.
@@ -53,9 +52,8 @@
     bool isFinal() const;
     /// The time at which @p fraction of the order's time limit has passed.
     steady_time timeAt(double fraction) const;
-    std::optional<rollout_phase> phaseAfterCanary(steady_time now, std::size_t vmCount) const;
-    /// Enough is known of the new version for all requests to depend on it.
-    bool hasEvidence(steady_time now, std::size_t vmCount) const;
+    std::optional<rollout_phase> phaseAfterCanary(steady_time now) const;
+    std::optional<rollout_phase> phaseAfterCutover(steady_time now, bool isOldVersionIdle) const;
 
     rollout_order m_order;
     rollout_settings m_settings;
@@ -66,7 +64,11 @@
     duration m_phaseJitter{};
     rollout_phase m_phase = rollout_phase::canary;
     bool m_hasRecord = false;
+    /// When the cutover was recorded, as far as this VM knows, and when this VM read that.
     steady_time m_cutoverAt;
+    steady_time m_cutoverReadAt;
+    /// version_comparison::newAnswers() at that time.
+    std::uint64_t m_answersBeforeCutover = 0;
     std::uint64_t m_requests = 0;
     std::uint64_t m_canaryRequests = 0;
     version_comparison m_comparison;
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -132,7 +132,8 @@
                                        {{"service", order.service.value()},
                                         {"target", order.target},
                                         {"position", std::to_string(order.position)}}});
-        for (const version_evidence &entry : m_evidence.entriesOf(order.service, order.position, m_context->node.id)) {
+        m_evidence.removeBefore(order.service, order.position);
+        for (const version_evidence &entry : m_evidence.entriesOf(order.service, order.position)) {
             added.addEvidence(entry);
         }
         const auto record = m_records.find(order.service);
@@ -201,8 +202,7 @@
         }
         m_nextCheck = now() + checkInterval;
         for (auto &[service, each] : m_rollouts) {
-            const std::optional<rollout_phase> phase =
-                each.phaseToRecord(now(), isOldVersionIdle(each.order()), vmCount());
+            const std::optional<rollout_phase> phase = each.phaseToRecord(now(), isOldVersionIdle(each.order()));
             if (!phase) {
                 continue;
             }
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -223,3 +223,17 @@
     m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
     CHECK(policy(0).choose(service_id("model"), {}).allows("v2"));
 }
+
+// Guards against failures that are forgotten because the VM that saw them was restarted, with its clock set back.
+TEST_CASE_METHOD(fleet_fixture, "evidence, its VM restarted, still counts", "[rollouts]")
+{
+    start(12);
+    order();
+    observe(0, "v1", 20, false);
+    version_evidence entry{vm_id("vm-9"), 9, 5, service_id("model"), 3, {{1, {5, 2, {}}, {}}}};
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    entry.incarnation = 4;
+    entry.counter = 2;
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    CHECK_FALSE(policy(0).choose(service_id("model"), {}).allows("v2"));
+}
