Use the old version while no runner of the one on trial has capacity

Found in review: a request whose session is to try the new version waited at the head of its service's queue while no runner of that version was listed or had capacity, and all other requests of the service waited behind it, up to half of their objective, with idle old runners. The new case 'request of a trial, no runner of the new version' fails on the code before (no attempt started) and passes now. Two more guard what the flow tells the roll-out: the first event, a later loss, and an abandoned request.

--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -249,8 +249,9 @@
     }
     backend_requirements requirements = requirementsOf(active, rule);
     std::optional<backend_choice> choice = m_environment.backends->pick(requirements);
-    if (!choice && m_environment.rollouts != nullptr) {
-        requirements.versions = m_environment.rollouts->rule(active.service, active.request.session);
+    if (!choice && rule.isTrial) {
+        // Waiting for the version on trial would delay all requests behind this one.
+        requirements.versions = {version_rule::mode::except, rule.version, false};
         choice = m_environment.backends->pick(requirements);
     }
     if (!choice) {
