Name the shared prompt parts of a request whose attempt failed

The logs of the incident name the runners that requests lost, but not what these requests had in common, so that a prompt part behind the losses can't be told from chance. attempt_failed now ends with the ids of the first eight parts without the last one, which is the request's own. Test: 'attempt, connection lost, log line names the shared prompt parts'.

--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -42,6 +42,17 @@
     return request.maximumTokens > 0 ? request.maximumTokens : defaultOutputTokens;
 }
 
+// The last part is left out: it is the request's own.
+std::string sharedPartsText(const std::vector<prompt_part> &prompt)
+{
+    constexpr std::size_t maximumLoggedParts = 8;
+    std::string text;
+    for (std::size_t index = 0; index + 1 < prompt.size() && index < maximumLoggedParts; ++index) {
+        text += fmt::format("{}{:x}", index == 0 ? "" : ",", prompt[index].id);
+    }
+    return text;
+}
+
 bool isSuccess(std::uint32_t status)
 {
     return status >= 200 && status < firstRedirection;
@@ -468,7 +479,8 @@
                                    {{"runner", active.current->runner.value()},
                                     {"failure", std::string(toName(failed.failure))},
                                     {"had_events", active.current->hasEvent ? "true" : "false"},
-                                    {"milliseconds", milliseconds(now() - active.current->started)}}});
+                                    {"milliseconds", milliseconds(now() - active.current->started)},
+                                    {"parts", sharedPartsText(active.request.prompt)}}});
     if (failed.failure == attempt_failure::not_sent) {
         --active.attempts;
         --active.attemptsThatMayHaveRun;
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -560,3 +560,21 @@
     event(first.attempt, 1);
     CHECK(all<start_forward>(success(first.attempt, 5)).empty());
 }
+
+// Guards against logs that can't tell what requests that lose their runners have in common.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "attempt, connection lost, log line names the shared prompt parts",
+                 "[forwarding]")
+{
+    forward_request request;
+    request.request = request_id("r");
+    request.path = "/model/";
+    request.prompt = {{0x5c1e07a2, 800}, {0x91bd3f06, 400}, {0xe4402b7d, 200}};
+    action_list actions;
+    m_flow->receive(request, actions);
+    const action_list failed = fail(one<start_forward>(actions).attempt, attempt_failure::connection_lost);
+    const log_decision line = all<log_decision>(failed).front();
+    REQUIRE(line.event == "attempt_failed");
+    CHECK(line.fields.back().first == "parts");
+    CHECK(line.fields.back().second == "5c1e07a2,91bd3f06");
+}
