--- /dev/null
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -0,0 +1,416 @@
+#include "simulated_fleet.h"
+
+#include "plugins/membership/peer_topology.h"
+
+#include <algorithm>
+
+namespace crocuslane {
+
+/// Definition for the tests: the decision code only passes pointers to answers on to actions.
+class runner_answer
+{
+};
+
+namespace {
+
+constexpr std::chrono::milliseconds stepTime{10};
+// A runner with the crashing part ends when it begins to write the answer.
+constexpr std::chrono::milliseconds answerBegin{60};
+constexpr std::chrono::milliseconds eventInterval{40};
+constexpr std::uint64_t eventsPerAnswer = 8;
+// Time after which a crashed runner's entry is removed, and another one is listed.
+constexpr std::chrono::seconds entryLifetime{3};
+constexpr std::chrono::seconds restartTime{3};
+constexpr std::chrono::milliseconds messageDelay{40};
+constexpr std::chrono::milliseconds messageDelayJitter{60};
+
+class silent_timeline : public timeline_recorder
+{
+public:
+    void record(timeline_kind /*kind*/, const request_id & /*request*/, std::string /*detail*/) override
+    {
+    }
+};
+
+class fake_members : public member_view
+{
+public:
+    entry_advice advice() const override
+    {
+        return {};
+    }
+
+    std::vector<member_info> members() const override
+    {
+        std::vector<member_info> list;
+        for (const vm_id &id : all) {
+            member_info info;
+            info.id = id;
+            info.lastContactAge = duration::zero();
+            info.isSelf = id == self;
+            list.push_back(info);
+        }
+        return list;
+    }
+
+    bool hasContactWithMajority(duration /*limit*/) const override
+    {
+        return true;
+    }
+
+    const std::vector<vm_entry> &backendServers() const override
+    {
+        return none;
+    }
+
+    std::vector<vm_id> connectedPeers() const override
+    {
+        const std::set<vm_id> peers = neighbours(self, all);
+        return {peers.begin(), peers.end()};
+    }
+
+    std::optional<steady_time> earliestSendTime(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<std::string> regionOf(const vm_id & /*peer*/) const override
+    {
+        return std::nullopt;
+    }
+
+    vm_id self;
+    std::set<vm_id> all;
+    std::vector<vm_entry> none;
+};
+
+vm_id idOf(std::size_t number)
+{
+    return vm_id("vm-" + std::to_string(number));
+}
+
+} // namespace
+
+struct simulated_fleet::vm {
+    vm(const clock &time, std::size_t number, std::uint64_t incarnation)
+        : random(number + incarnation * 1000)
+        , decisions({time, random, {idOf(number), incarnation, "zone", "region", "", ""}, {}, timeline})
+    {
+    }
+
+    seeded_random random;
+    silent_timeline timeline;
+    fake_members members;
+    kernel decisions;
+    std::uint64_t incarnation = 1;
+};
+
+struct simulated_fleet::attempt {
+    std::size_t vm = 0;
+    attempt_number number = 0;
+    std::string runner;
+    std::uint64_t part = 0;
+    steady_time started;
+    std::uint64_t events = 0;
+    bool isLost = false;
+};
+
+struct simulated_fleet::message {
+    steady_time at;
+    std::size_t to = 0;
+    vm_id from;
+    peer_message content;
+};
+
+simulated_fleet::simulated_fleet(std::size_t vmCount, std::size_t runnerCount)
+    : m_configuration(std::make_shared<forward_configuration>())
+{
+    forward_route route;
+    route.name = "answer";
+    route.host = "models.example";
+    route.pathPrefix = "/answer/";
+    route.kind = route_kind::resumable_stream;
+    route.timeout = std::chrono::seconds(10);
+    route.objective = std::chrono::seconds(2);
+    route.eventInterval = std::chrono::milliseconds(500);
+    route.maximumAttempts = 3;
+    route.isAnonymous = true;
+    route.services = {{service_id("model"), 1.0}};
+    m_configuration->version = 1;
+    m_configuration->routes.push_back(route);
+    forward_service service;
+    service.id = service_id("model");
+    constexpr unsigned slots = 64;
+    constexpr std::uint64_t kvCacheTokens = 1'000'000;
+    service.engine = engine_description{slots, kvCacheTokens, 1};
+    m_configuration->services.push_back(service);
+    for (std::size_t count = 0; count < runnerCount; ++count) {
+        m_starts.push_back(now());
+    }
+    m_vms.resize(vmCount);
+    for (std::size_t number = 0; number < vmCount; ++number) {
+        start(number);
+    }
+    updateRunners();
+}
+
+simulated_fleet::~simulated_fleet() = default;
+
+void simulated_fleet::start(std::size_t number)
+{
+    const std::uint64_t incarnation = m_vms[number] ? m_vms[number]->incarnation + 1 : 1;
+    m_vms[number] = std::make_unique<vm>(m_clock, number, incarnation);
+    vm &started = *m_vms[number];
+    started.incarnation = incarnation;
+    started.members.self = idOf(number);
+    for (std::size_t other = 0; other < m_vms.size(); ++other) {
+        started.members.all.insert(idOf(other));
+    }
+    started.decisions.services().offer<member_view>(started.members);
+    started.decisions.addRegistered({"forwarding"});
+    apply(number, started.decisions.start());
+    handle(number, forward_configuration_read{m_configuration});
+    sendList(number);
+}
+
+void simulated_fleet::restart(std::size_t number)
+{
+    std::erase_if(m_attempts, [number](const attempt &each) { return each.vm == number; });
+    start(number);
+    for (const vm_id &peer : m_vms[number]->members.connectedPeers()) {
+        handle(number, peer_connected{peer});
+        for (std::size_t other = 0; other < m_vms.size(); ++other) {
+            if (idOf(other) == peer) {
+                handle(other, peer_connected{idOf(number)});
+            }
+        }
+    }
+}
+
+void simulated_fleet::setLostAnswers(double share)
+{
+    m_lostAnswers = share;
+}
+
+void simulated_fleet::send(std::size_t number, std::uint64_t part)
+{
+    constexpr std::uint32_t tokensPerPart = 100;
+    const std::uint64_t own = ++m_requests + 1'000'000;
+    forward_request request;
+    request.request = request_id("r" + std::to_string(m_requests));
+    request.host = "models.example";
+    request.path = "/answer/x";
+    request.prompt = {{sharedPart, tokensPerPart}, {part, tokensPerPart}, {own, tokensPerPart}};
+    request.promptTokens = 3 * tokensPerPart;
+    m_partByRequest[request.request.value()] = part;
+    handle(number, forward_received{request});
+}
+
+void simulated_fleet::run(duration time)
+{
+    const steady_time end = now() + time;
+    while (now() < end) {
+        step();
+    }
+}
+
+void simulated_fleet::step()
+{
+    m_clock.advance(stepTime);
+    updateRunners();
+    std::vector<message> due;
+    std::copy_if(m_messages.begin(), m_messages.end(), std::back_inserter(due), [this](const message &each) {
+        return each.at <= now();
+    });
+    std::erase_if(m_messages, [this](const message &each) { return each.at <= now(); });
+    for (const message &each : due) {
+        handle(each.to, peer_message_received{each.from, each.content});
+    }
+    progress();
+    for (std::size_t number = 0; number < m_vms.size(); ++number) {
+        if (m_vms[number]->decisions.nextDeadline() <= now()) {
+            handle(number, timer_expired{});
+        }
+    }
+}
+
+void simulated_fleet::handle(std::size_t number, event event)
+{
+    apply(number, m_vms[number]->decisions.handle(std::move(event)));
+}
+
+void simulated_fleet::apply(std::size_t number, const action_list &actions)
+{
+    for (const action &each : actions) {
+        if (const auto *started = std::get_if<start_forward>(&each)) {
+            startForward(number, *started);
+        } else if (const auto *cancelled = std::get_if<cancel_attempt>(&each)) {
+            std::erase_if(m_attempts, [&](const attempt &candidate) {
+                return candidate.vm == number && candidate.number == cancelled->attempt;
+            });
+        } else if (const auto *refused = std::get_if<refuse_forward>(&each)) {
+            ++m_refusals[refused->reason][number];
+        } else if (const auto *line = std::get_if<log_decision>(&each)) {
+            ++m_logLines[std::string(line->event)];
+        } else if (const auto *sent = std::get_if<send_to_peer>(&each)) {
+            const duration delay =
+                messageDelay + m_random.below(messageDelayJitter.count()) * std::chrono::milliseconds(1);
+            for (std::size_t other = 0; other < m_vms.size(); ++other) {
+                if (idOf(other) == sent->peer) {
+                    m_messages.push_back({now() + delay, other, idOf(number), sent->message});
+                }
+            }
+        }
+    }
+}
+
+void simulated_fleet::startForward(std::size_t number, const start_forward &action)
+{
+    attempt started;
+    started.vm = number;
+    started.number = action.attempt;
+    started.runner = action.runner.value();
+    started.part = m_partByRequest[action.request.value()];
+    started.started = now();
+    started.isLost = started.part != crashingPart && m_random.unit() < m_lostAnswers;
+    if (m_running.contains(started.runner)) {
+        m_sent.push_back({now(), number, started.part == crashingPart});
+    }
+    m_attempts.push_back(started);
+}
+
+void simulated_fleet::progress()
+{
+    // Handling an event may start or cancel attempts.
+    const std::vector<attempt> inProgress = m_attempts;
+    for (const attempt &copy : inProgress) {
+        const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&copy](const attempt &each) {
+            return each.vm == copy.vm && each.number == copy.number;
+        });
+        if (found == m_attempts.end()) {
+            continue;
+        }
+        const auto end = [&](const event &event) {
+            m_attempts.erase(found);
+            handle(copy.vm, event);
+        };
+        if (!m_running.contains(copy.runner)) {
+            end(forward_failed{copy.number, attempt_failure::not_sent});
+        } else if (now() < copy.started + answerBegin + copy.events * eventInterval) {
+            continue;
+        } else if (copy.part == crashingPart) {
+            crash(copy.runner);
+        } else if (copy.isLost) {
+            end(forward_failed{copy.number, attempt_failure::connection_lost});
+        } else if (copy.events == eventsPerAnswer) {
+            ++m_answered[copy.part];
+            end(forward_completed{copy.number, nullptr});
+        } else {
+            ++found->events;
+            if (copy.events == 0) {
+                forward_answer_head head;
+                head.status = 200;
+                head.isGenuine = true;
+                handle(copy.vm, forward_head_received{copy.number, head, nullptr});
+            }
+            handle(copy.vm, forward_event_received{copy.number, copy.events + 1, true, "data"});
+        }
+    }
+}
+
+void simulated_fleet::crash(const std::string &runner)
+{
+    m_crashes.push_back(now());
+    m_running.erase(runner);
+    m_listed[runner] = now() + entryLifetime;
+    m_starts.push_back(now() + restartTime);
+    std::vector<attempt> lost;
+    std::copy_if(m_attempts.begin(), m_attempts.end(), std::back_inserter(lost), [&runner](const attempt &each) {
+        return each.runner == runner;
+    });
+    std::erase_if(m_attempts, [&runner](const attempt &each) { return each.runner == runner; });
+    for (const attempt &each : lost) {
+        handle(each.vm, forward_failed{each.number, attempt_failure::connection_lost});
+    }
+}
+
+void simulated_fleet::updateRunners()
+{
+    bool hasChanged =
+        std::erase_if(m_listed, [this](const auto &each) { return each.second && *each.second <= now(); }) > 0;
+    while (!m_starts.empty() && m_starts.front() <= now()) {
+        m_starts.pop_front();
+        const std::string id = "runner-" + std::to_string(++m_runnerNumber);
+        m_running.insert(id);
+        m_listed[id] = std::nullopt;
+        hasChanged = true;
+    }
+    if (hasChanged) {
+        for (std::size_t number = 0; number < m_vms.size(); ++number) {
+            sendList(number);
+        }
+    }
+}
+
+void simulated_fleet::sendList(std::size_t number)
+{
+    backend_list_read list;
+    for (const auto &[id, removedAt] : m_listed) {
+        backend_entry entry;
+        entry.id = runner_id(id);
+        entry.service = service_id("model");
+        entry.address = id + ":80";
+        entry.availabilityZone = "zone";
+        entry.version = "v1";
+        entry.slots = 64;
+        entry.startedUnixMilliseconds = 1;
+        list.entries.push_back(entry);
+    }
+    handle(number, list);
+}
+
+steady_time simulated_fleet::now() const
+{
+    return m_clock.steadyNow();
+}
+
+std::size_t simulated_fleet::vmCount() const
+{
+    return m_vms.size();
+}
+
+const std::vector<steady_time> &simulated_fleet::crashes() const
+{
+    return m_crashes;
+}
+
+std::size_t simulated_fleet::crashingRequestsSentAfter(steady_time time) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_sent.begin(), m_sent.end(), [time](const sent_request &each) { return each.isCrashing && each.at > time; }));
+}
+
+std::map<std::size_t, std::size_t> simulated_fleet::refusals(refusal_reason reason) const
+{
+    const auto found = m_refusals.find(reason);
+    return found == m_refusals.end() ? std::map<std::size_t, std::size_t>() : found->second;
+}
+
+void simulated_fleet::clearRefusals()
+{
+    m_refusals.clear();
+}
+
+std::size_t simulated_fleet::answered(std::uint64_t part) const
+{
+    const auto found = m_answered.find(part);
+    return found == m_answered.end() ? 0 : found->second;
+}
+
+std::size_t simulated_fleet::logLines(std::string_view event) const
+{
+    const auto found = m_logLines.find(event);
+    return found == m_logLines.end() ? 0 : found->second;
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/forwarding/tests/simulated_fleet.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "kernel/kernel.h"
+#include "services/member_view.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace crocuslane {
+
+/// Entry VMs with the decision code of forwarded requests, runners that a prompt part crashes, and the messages between
+/// the VMs. Time passes in steps of 10 ms.
+class simulated_fleet
+{
+public:
+    static constexpr std::uint64_t sharedPart = 1;
+    static constexpr std::uint64_t crashingPart = 0xbad;
+
+    struct sent_request {
+        steady_time at;
+        std::size_t vm = 0;
+        bool isCrashing = false;
+    };
+
+    simulated_fleet(std::size_t vmCount, std::size_t runnerCount);
+    ~simulated_fleet();
+
+    /// Sends a request at the VM with number @p vm; its prompt is sharedPart, @p part, and a part of its own.
+    void send(std::size_t vm, std::uint64_t part);
+    void run(duration time);
+    /// Replaces the VM by a new process.
+    void restart(std::size_t vm);
+    /// Every runner loses this share of its answers, without ending.
+    void setLostAnswers(double share);
+
+    steady_time now() const;
+    std::size_t vmCount() const;
+    const std::vector<steady_time> &crashes() const;
+    /// Requests with the crashing part that reached a running runner after @p time.
+    std::size_t crashingRequestsSentAfter(steady_time time) const;
+    /// Refusals with the given reason since the last call of clearRefusals(), by VM.
+    std::map<std::size_t, std::size_t> refusals(refusal_reason reason) const;
+    void clearRefusals();
+    std::size_t answered(std::uint64_t part) const;
+    /// Log lines of all VMs with the given name.
+    std::size_t logLines(std::string_view event) const;
+
+private:
+    struct vm;
+    struct attempt;
+    struct message;
+
+    void step();
+    void start(std::size_t number);
+    void handle(std::size_t number, event event);
+    void apply(std::size_t number, const action_list &actions);
+    void startForward(std::size_t number, const start_forward &action);
+    void progress();
+    void crash(const std::string &runner);
+    void updateRunners();
+    void sendList(std::size_t number);
+
+    manual_clock m_clock;
+    std::vector<std::unique_ptr<vm>> m_vms;
+    std::shared_ptr<forward_configuration> m_configuration;
+    /// Runners that are listed; the value is when the entry is removed.
+    std::map<std::string, std::optional<steady_time>> m_listed;
+    std::set<std::string> m_running;
+    std::deque<steady_time> m_starts;
+    std::size_t m_runnerNumber = 0;
+    std::vector<attempt> m_attempts;
+    std::vector<message> m_messages;
+    std::map<std::string, std::uint64_t> m_partByRequest;
+    std::vector<steady_time> m_crashes;
+    std::vector<sent_request> m_sent;
+    std::map<refusal_reason, std::map<std::size_t, std::size_t>> m_refusals;
+    std::map<std::uint64_t, std::size_t> m_answered;
+    std::map<std::string, std::size_t, std::less<>> m_logLines;
+    std::uint64_t m_requests = 0;
+    double m_lostAnswers = 0.0;
+    seeded_random m_random{7};
+};
+
+} // namespace crocuslane
