Add a message with evidence of crashed runners between entry VMs

Groundwork of the fix: each VM sees only few of the requests that crash runners, so the losses per prompt part, the sound answers that clear a part, the isolated parts and the runners that ended go from VM to VM. Nothing sends the message yet. Test: round trip with all fields and with none.

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -126,6 +126,42 @@
     std::uint32_t unpackedBytes = 0;
 };
 
+/// What entry VMs know of prompt parts under which runners ended, and of the runners that ended. Each VM forwards what
+/// is new to it. Ages are at the time of sending.
+struct crash_evidence {
+    struct lost_attempt {
+        /// Hash of the runner's id and start time.
+        std::uint64_t runner = 0;
+        /// Hash of the request's id.
+        std::uint32_t request = 0;
+        std::chrono::milliseconds age{};
+    };
+    struct isolation {
+        std::chrono::milliseconds age{};
+        /// Time since the last request with the part was refused.
+        std::chrono::milliseconds refusalAge{};
+        /// Requests with the part that were sent since, to find out whether it still crashes runners.
+        std::uint32_t probes = 0;
+    };
+    struct part {
+        std::uint64_t id = 0;
+        /// Position in the prompts, counted from 0.
+        std::uint32_t position = 0;
+        /// Attempts that lost their runner before the answer was under way.
+        std::vector<lost_attempt> losses;
+        /// Time since a request with the part was last answered; empty when the sender knows of no answer.
+        std::optional<std::chrono::milliseconds> soundAge;
+        std::optional<isolation> isolated;
+    };
+    struct crashed_runner {
+        std::uint64_t runner = 0;
+        std::chrono::milliseconds age{};
+    };
+
+    std::vector<part> parts;
+    std::vector<crashed_runner> runners;
+};
+
 using peer_message = std::variant<heartbeat,
                                   exchange_digest,
                                   exchange_delta,
@@ -134,6 +170,7 @@
                                   bill_copy_released,
                                   configuration_fetch,
                                   configuration_text,
-                                  stream_part>;
+                                  stream_part,
+                                  crash_evidence>;
 
 } // namespace crocuslane
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -243,6 +243,40 @@
                                            message.unpackedBytes));
 }
 
+std::uint32_t wireAge(std::chrono::milliseconds age)
+{
+    return saturated<std::uint32_t>(nonNegativeAge(age.count()));
+}
+
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const crash_evidence &message)
+{
+    std::vector<Offset<wire::suspect_part>> parts;
+    for (const crash_evidence::part &part : message.parts) {
+        std::vector<wire::lost_attempt> losses;
+        for (const crash_evidence::lost_attempt &loss : part.losses) {
+            losses.emplace_back(loss.runner, loss.request, wireAge(loss.age));
+        }
+        const auto lossVector = builder.CreateVectorOfStructs(losses);
+        const crash_evidence::isolation isolation = part.isolated.value_or(crash_evidence::isolation{});
+        parts.push_back(wire::Createsuspect_part(builder,
+                                                 part.id,
+                                                 part.position,
+                                                 lossVector,
+                                                 part.soundAge ? wireAge(*part.soundAge) : -1LL,
+                                                 part.isolated ? wireAge(isolation.age) : -1LL,
+                                                 wireAge(isolation.refusalAge),
+                                                 isolation.probes));
+    }
+    std::vector<wire::crashed_runner> runners;
+    for (const crash_evidence::crashed_runner &runner : message.runners) {
+        runners.emplace_back(runner.runner, wireAge(runner.age));
+    }
+    const auto partVector = builder.CreateVector(parts);
+    const auto runnerVector = builder.CreateVectorOfStructs(runners);
+    return encoded(wire::message::crash_evidence, wire::Createcrash_evidence(builder, partVector, runnerVector));
+}
+
 // Treats an absent vector as empty.
 template<typename element>
 std::size_t sizeOf(const flatbuffers::Vector<element> *vector)
@@ -443,6 +477,40 @@
     return part;
 }
 
+crash_evidence::part decodePart(const wire::suspect_part &part)
+{
+    crash_evidence::part result;
+    result.id = part.id();
+    result.position = part.position();
+    for (std::size_t index = 0; index < sizeOf(part.losses()); ++index) {
+        const wire::lost_attempt &loss = *part.losses()->Get(static_cast<flatbuffers::uoffset_t>(index));
+        result.losses.push_back({loss.runner(), loss.request(), std::chrono::milliseconds(loss.age_ms())});
+    }
+    if (part.sound_age_ms() >= 0) {
+        result.soundAge = std::chrono::milliseconds(saturated<std::uint32_t>(part.sound_age_ms()));
+    }
+    if (part.isolation_age_ms() >= 0) {
+        result.isolated =
+            crash_evidence::isolation{std::chrono::milliseconds(saturated<std::uint32_t>(part.isolation_age_ms())),
+                                      std::chrono::milliseconds(part.refusal_age_ms()),
+                                      part.probes()};
+    }
+    return result;
+}
+
+leaf::result<peer_message> decode(name_list_reader & /*names*/, const wire::crash_evidence &message)
+{
+    crash_evidence evidence;
+    for (std::size_t index = 0; index < sizeOf(message.parts()); ++index) {
+        evidence.parts.push_back(decodePart(*message.parts()->Get(static_cast<flatbuffers::uoffset_t>(index))));
+    }
+    for (std::size_t index = 0; index < sizeOf(message.runners()); ++index) {
+        const wire::crashed_runner &runner = *message.runners()->Get(static_cast<flatbuffers::uoffset_t>(index));
+        evidence.runners.push_back({runner.runner(), std::chrono::milliseconds(runner.age_ms())});
+    }
+    return evidence;
+}
+
 leaf::result<peer_message> decodeMessage(name_list_reader &names, const wire::envelope &envelope)
 {
     switch (envelope.message_type()) {
@@ -464,6 +532,8 @@
         return decode(names, *envelope.message_as_configuration_text());
     case wire::message::stream_part:
         return decode(names, *envelope.message_as_stream_part());
+    case wire::message::crash_evidence:
+        return decode(names, *envelope.message_as_crash_evidence());
     case wire::message::NONE:
         break;
     }
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -63,6 +63,16 @@
 struct stream_record_list;
 struct stream_record_listBuilder;
 
+struct lost_attempt;
+
+struct crashed_runner;
+
+struct suspect_part;
+struct suspect_partBuilder;
+
+struct crash_evidence;
+struct crash_evidenceBuilder;
+
 struct envelope;
 struct envelopeBuilder;
 
@@ -80,11 +90,12 @@
   configuration_fetch = 7,
   configuration_text = 8,
   stream_part = 9,
+  crash_evidence = 10,
   MIN = NONE,
-  MAX = stream_part
+  MAX = crash_evidence
 };
 
-inline const message (&EnumValuesmessage())[10] {
+inline const message (&EnumValuesmessage())[11] {
   static const message values[] = {
     message::NONE,
     message::heartbeat,
@@ -95,13 +106,14 @@
     message::bill_copy_released,
     message::configuration_fetch,
     message::configuration_text,
-    message::stream_part
+    message::stream_part,
+    message::crash_evidence
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "heartbeat",
     "exchange_digest",
@@ -112,13 +124,14 @@
     "configuration_fetch",
     "configuration_text",
     "stream_part",
+    "crash_evidence",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::stream_part)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::crash_evidence)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -163,6 +176,10 @@
   static const message enum_value = message::stream_part;
 };
 
+template<> struct messageTraits<crocuslane::wire::crash_evidence> {
+  static const message enum_value = message::crash_evidence;
+};
+
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
@@ -360,6 +377,73 @@
   using type = digest_entry;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) lost_attempt FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  uint32_t request_;
+  uint32_t age_ms_;
+
+ public:
+  struct Traits;
+  lost_attempt()
+      : runner_(0),
+        request_(0),
+        age_ms_(0) {
+  }
+  lost_attempt(uint64_t _runner, uint32_t _request, uint32_t _age_ms)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        request_(flatbuffers::EndianScalar(_request)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  uint32_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(lost_attempt, 16);
+
+struct lost_attempt::Traits {
+  using type = lost_attempt;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) crashed_runner FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  crashed_runner()
+      : runner_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  crashed_runner(uint64_t _runner, uint32_t _age_ms)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(crashed_runner, 16);
+
+struct crashed_runner::Traits {
+  using type = crashed_runner;
+};
+
 struct name_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef name_listBuilder Builder;
   struct Traits;
@@ -1585,6 +1669,207 @@
       records__);
 }
 
+struct suspect_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef suspect_partBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_POSITION = 6,
+    VT_LOSSES = 8,
+    VT_SOUND_AGE_MS = 10,
+    VT_ISOLATION_AGE_MS = 12,
+    VT_REFUSAL_AGE_MS = 14,
+    VT_PROBES = 16
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint32_t position() const {
+    return GetField<uint32_t>(VT_POSITION, 0);
+  }
+  const flatbuffers::Vector<const crocuslane::wire::lost_attempt *> *losses() const {
+    return GetPointer<const flatbuffers::Vector<const crocuslane::wire::lost_attempt *> *>(VT_LOSSES);
+  }
+  int64_t sound_age_ms() const {
+    return GetField<int64_t>(VT_SOUND_AGE_MS, -1LL);
+  }
+  int64_t isolation_age_ms() const {
+    return GetField<int64_t>(VT_ISOLATION_AGE_MS, -1LL);
+  }
+  uint32_t refusal_age_ms() const {
+    return GetField<uint32_t>(VT_REFUSAL_AGE_MS, 0);
+  }
+  uint32_t probes() const {
+    return GetField<uint32_t>(VT_PROBES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_POSITION, 4) &&
+           VerifyOffset(verifier, VT_LOSSES) &&
+           verifier.VerifyVector(losses()) &&
+           VerifyField<int64_t>(verifier, VT_SOUND_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_ISOLATION_AGE_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REFUSAL_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PROBES, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct suspect_partBuilder {
+  typedef suspect_part Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(suspect_part::VT_ID, id, 0);
+  }
+  void add_position(uint32_t position) {
+    fbb_.AddElement<uint32_t>(suspect_part::VT_POSITION, position, 0);
+  }
+  void add_losses(flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::lost_attempt *>> losses) {
+    fbb_.AddOffset(suspect_part::VT_LOSSES, losses);
+  }
+  void add_sound_age_ms(int64_t sound_age_ms) {
+    fbb_.AddElement<int64_t>(suspect_part::VT_SOUND_AGE_MS, sound_age_ms, -1LL);
+  }
+  void add_isolation_age_ms(int64_t isolation_age_ms) {
+    fbb_.AddElement<int64_t>(suspect_part::VT_ISOLATION_AGE_MS, isolation_age_ms, -1LL);
+  }
+  void add_refusal_age_ms(uint32_t refusal_age_ms) {
+    fbb_.AddElement<uint32_t>(suspect_part::VT_REFUSAL_AGE_MS, refusal_age_ms, 0);
+  }
+  void add_probes(uint32_t probes) {
+    fbb_.AddElement<uint32_t>(suspect_part::VT_PROBES, probes, 0);
+  }
+  explicit suspect_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<suspect_part> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<suspect_part>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<suspect_part> Createsuspect_part(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint32_t position = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::lost_attempt *>> losses = 0,
+    int64_t sound_age_ms = -1LL,
+    int64_t isolation_age_ms = -1LL,
+    uint32_t refusal_age_ms = 0,
+    uint32_t probes = 0) {
+  suspect_partBuilder builder_(_fbb);
+  builder_.add_isolation_age_ms(isolation_age_ms);
+  builder_.add_sound_age_ms(sound_age_ms);
+  builder_.add_id(id);
+  builder_.add_probes(probes);
+  builder_.add_refusal_age_ms(refusal_age_ms);
+  builder_.add_losses(losses);
+  builder_.add_position(position);
+  return builder_.Finish();
+}
+
+struct suspect_part::Traits {
+  using type = suspect_part;
+  static auto constexpr Create = Createsuspect_part;
+};
+
+inline flatbuffers::Offset<suspect_part> Createsuspect_partDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint32_t position = 0,
+    const std::vector<crocuslane::wire::lost_attempt> *losses = nullptr,
+    int64_t sound_age_ms = -1LL,
+    int64_t isolation_age_ms = -1LL,
+    uint32_t refusal_age_ms = 0,
+    uint32_t probes = 0) {
+  auto losses__ = losses ? _fbb.CreateVectorOfStructs<crocuslane::wire::lost_attempt>(*losses) : 0;
+  return crocuslane::wire::Createsuspect_part(
+      _fbb,
+      id,
+      position,
+      losses__,
+      sound_age_ms,
+      isolation_age_ms,
+      refusal_age_ms,
+      probes);
+}
+
+struct crash_evidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_evidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTS = 4,
+    VT_RUNNERS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::suspect_part>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::suspect_part>> *>(VT_PARTS);
+  }
+  const flatbuffers::Vector<const crocuslane::wire::crashed_runner *> *runners() const {
+    return GetPointer<const flatbuffers::Vector<const crocuslane::wire::crashed_runner *> *>(VT_RUNNERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
+           VerifyOffset(verifier, VT_RUNNERS) &&
+           verifier.VerifyVector(runners()) &&
+           verifier.EndTable();
+  }
+};
+
+struct crash_evidenceBuilder {
+  typedef crash_evidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::suspect_part>>> parts) {
+    fbb_.AddOffset(crash_evidence::VT_PARTS, parts);
+  }
+  void add_runners(flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::crashed_runner *>> runners) {
+    fbb_.AddOffset(crash_evidence::VT_RUNNERS, runners);
+  }
+  explicit crash_evidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_evidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_evidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_evidence> Createcrash_evidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::suspect_part>>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::crashed_runner *>> runners = 0) {
+  crash_evidenceBuilder builder_(_fbb);
+  builder_.add_runners(runners);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+struct crash_evidence::Traits {
+  using type = crash_evidence;
+  static auto constexpr Create = Createcrash_evidence;
+};
+
+inline flatbuffers::Offset<crash_evidence> Createcrash_evidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<crocuslane::wire::suspect_part>> *parts = nullptr,
+    const std::vector<crocuslane::wire::crashed_runner> *runners = nullptr) {
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<crocuslane::wire::suspect_part>>(*parts) : 0;
+  auto runners__ = runners ? _fbb.CreateVectorOfStructs<crocuslane::wire::crashed_runner>(*runners) : 0;
+  return crocuslane::wire::Createcrash_evidence(
+      _fbb,
+      parts__,
+      runners__);
+}
+
 struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef envelopeBuilder Builder;
   struct Traits;
@@ -1646,6 +1931,9 @@
   const crocuslane::wire::stream_part *message_as_stream_part() const {
     return message_type() == crocuslane::wire::message::stream_part ? static_cast<const crocuslane::wire::stream_part *>(message()) : nullptr;
   }
+  const crocuslane::wire::crash_evidence *message_as_crash_evidence() const {
+    return message_type() == crocuslane::wire::message::crash_evidence ? static_cast<const crocuslane::wire::crash_evidence *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL_VERSION, 2) &&
@@ -1697,6 +1985,10 @@
   return message_as_stream_part();
 }
 
+template<> inline const crocuslane::wire::crash_evidence *envelope::message_as<crocuslane::wire::crash_evidence>() const {
+  return message_as_crash_evidence();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1931,6 +2223,10 @@
       auto ptr = reinterpret_cast<const crocuslane::wire::stream_part *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::crash_evidence: {
+      auto ptr = reinterpret_cast<const crocuslane::wire::crash_evidence *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/libs/wire/fuzz/write_seeds.cpp
+++ b/src/libs/wire/fuzz/write_seeds.cpp
@@ -33,15 +33,17 @@
                     {1, 2, 3},
                     44,
                     1'750'000'000'000};
-    const std::vector<peer_message> messages{heartbeat{5, 6, true, 4},
-                                             exchange_digest{{{vm_id("vm-2"), 3, 9}}, 8},
-                                             exchange_delta{{state()}, {{vm_id("vm-3"), 255, 4, true}}},
-                                             bill_copy{bill},
-                                             bill_copy_acknowledged{request_id("r")},
-                                             bill_copy_released{request_id("r")},
-                                             configuration_fetch{12},
-                                             configuration_text{12, 99, "[service a]\n"},
-                                             stream_part{"s", 4, 9, {}, {}, {{"key", "value", 5}, {"other", {}, 8}}}};
+    const std::vector<peer_message> messages{
+        heartbeat{5, 6, true, 4},
+        exchange_digest{{{vm_id("vm-2"), 3, 9}}, 8},
+        exchange_delta{{state()}, {{vm_id("vm-3"), 255, 4, true}}},
+        bill_copy{bill},
+        bill_copy_acknowledged{request_id("r")},
+        bill_copy_released{request_id("r")},
+        configuration_fetch{12},
+        configuration_text{12, 99, "[service a]\n"},
+        stream_part{"s", 4, 9, {}, {}, {{"key", "value", 5}, {"other", {}, 8}}},
+        crash_evidence{{{7, 1, {{8, 9, {}}}, {}, crash_evidence::isolation{}}}, {{8, {}}}}};
     std::vector<std::string> inputs;
     std::string stream;
     std::string connection;
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 
 using namespace crocuslane;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -119,6 +120,29 @@
     CHECK((packed.packedRecords == sent.packedRecords && packed.packedRecords.size() < 2000));
 }
 
+// Guards against evidence of crashed runners that another VM reads differently: it would isolate a sound prompt part.
+TEST_CASE_METHOD(envelope_fixture, "crash evidence, all fields set or none, survives a round trip", "[wire]")
+{
+    crash_evidence sent;
+    sent.parts.push_back({0xffffffffffffffff, 2, {{0xeeeeeeeeeeeeeeee, 7, 120ms}, {5, 8, 3ms}}, 40ms, {}});
+    sent.parts.push_back({6, 0, {}, {}, crash_evidence::isolation{900ms, 30ms, 2}});
+    sent.runners = {{0xeeeeeeeeeeeeeeee, 110ms}};
+    const auto read = std::get<crash_evidence>(roundTrip(sent));
+    REQUIRE(read.parts.size() == 2);
+    const crash_evidence::part &first = read.parts[0];
+    CHECK((first.id == 0xffffffffffffffff && first.position == 2 && first.soundAge == 40ms && !first.isolated));
+    REQUIRE(first.losses.size() == 2);
+    CHECK((first.losses[0].runner == 0xeeeeeeeeeeeeeeee && first.losses[0].request == 7));
+    CHECK((first.losses[0].age == 120ms && first.losses[1].age == 3ms));
+    const crash_evidence::part &second = read.parts[1];
+    CHECK((second.id == 6 && second.losses.empty() && !second.soundAge));
+    REQUIRE(second.isolated);
+    CHECK((second.isolated->age == 900ms && second.isolated->refusalAge == 30ms && second.isolated->probes == 2));
+    REQUIRE(read.runners.size() == 1);
+    CHECK((read.runners[0].runner == 0xeeeeeeeeeeeeeeee && read.runners[0].age == 110ms));
+    CHECK(std::get<crash_evidence>(roundTrip(crash_evidence{})).parts.empty());
+}
+
 // Guards against a part that exhausts the memory of its receiver, and against accepting damaged compressed records.
 TEST_CASE_METHOD(envelope_fixture, "stream part, compressed records damaged or too large, is rejected", "[wire]")
 {
