Refuse requests with a prompt part that crashes runners

What callers saw: runner after runner of the model service was lost, each with up to 64 requests in progress, as long as requests with one prompt part came; they were sent to runners 33 to 39 times more than allowed.

Cause: each loss counted against the runner that was lost, at the VM that lost it. Nothing related the losses to the prompt part that they share, so that every such request crashed up to three runners, at any VM.

Change: crash_suspects counts the runners lost per prompt part (never the last part) before an answer is under way, clears a part with any answer, and isolates it after four runners that ended, or six that may have, under two requests. VMs exchange the evidence.

--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -174,6 +174,8 @@
     deadline_may_have_run,
     attempts_exhausted_not_run,
     attempts_exhausted_may_have_run,
+    /// The prompt has a part that crashes runners.
+    prompt_part_isolated,
 };
 
 struct refuse_forward {
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -32,6 +32,7 @@
     {refusal_reason::deadline_may_have_run, "deadline_may_have_run"},
     {refusal_reason::attempts_exhausted_not_run, "attempts_exhausted_not_run"},
     {refusal_reason::attempts_exhausted_may_have_run, "attempts_exhausted_may_have_run"},
+    {refusal_reason::prompt_part_isolated, "prompt_part_isolated"},
 });
 
 } // namespace
--- /dev/null
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "kernel/action.h"
+#include "kernel/event.h"
+#include "plugins/forwarding/runner_crash_detector.h"
+#include "plugins/forwarding/suspect_table.h"
+#include "services/backend_picker.h"
+#include "services/member_view.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <set>
+#include <unordered_map>
+
+namespace crocuslane {
+
+/// Finds prompt parts that crash the runners that begin to answer them, together with the other entry VMs, and decides
+/// which requests are refused for them. The last part of a prompt is never suspected: it is the request's own.
+class crash_suspects
+{
+public:
+    struct environment {
+        const clock *time = nullptr;
+        vm_id self;
+        /// Null when this VM runs without other entry VMs.
+        member_view *members = nullptr;
+    };
+    enum class verdict {
+        allowed,
+        /// The request has an isolated part and is sent once to find out whether that part still crashes runners.
+        probe,
+        isolated,
+    };
+
+    explicit crash_suspects(environment environment);
+
+    /// Decides about a new request.
+    verdict judge(const std::vector<prompt_part> &prompt);
+    bool isIsolated(const std::vector<prompt_part> &prompt) const;
+    /// Whether a request may be sent to another runner after @p lostRunners were lost under it.
+    bool mayRepeat(const std::vector<prompt_part> &prompt, unsigned lostRunners) const;
+
+    void attemptStarted(attempt_number attempt, const forward_request &request, const runner_id &runner);
+    void headReceived(attempt_number attempt);
+    void eventReceived(attempt_number attempt);
+    /// The attempt ended because its connection was lost, not because this VM closed it. Returns true when the answer
+    /// was not under way yet.
+    bool connectionLost(attempt_number attempt);
+    /// The answer has arrived completely and is a success.
+    void answered(attempt_number attempt, bool isStream);
+    /// Called for every attempt, after the others.
+    void attemptEnded(attempt_number attempt, attempt_end end);
+
+    void setListed(const backend_list_read &list);
+    void peerConnected(const vm_id &peer, action_list &actions);
+    void merge(const crash_evidence &evidence);
+    /// Detects crashes, isolates parts and sends what is new to the connected entry VMs, when due.
+    void expire(action_list &actions);
+    steady_time nextDeadline() const;
+    /// True once after parts were isolated, so that waiting requests are checked.
+    bool takeIsolationsAdded();
+    void describe(nlohmann::json &status) const;
+
+private:
+    using part_id = suspect_table::part_id;
+    using runner_key = runner_crash_detector::runner_key;
+
+    struct attempt {
+        std::vector<prompt_part> prompt;
+        runner_id runner;
+        runner_key key = 0;
+        std::uint32_t request = 0;
+        unsigned events = 0;
+        steady_time firstEventAt;
+        steady_time soundNotedAt;
+    };
+
+    steady_time now() const;
+    suspect_table::crash_check crashCheck() const;
+    runner_key keyOf(const runner_id &runner) const;
+    attempt *find(attempt_number attempt);
+    void noteSignOfLife(const attempt &attempt);
+    void noteSound(const std::vector<prompt_part> &prompt);
+    void addSound(part_id part, steady_time at);
+    void mergePart(const crash_evidence::part &part);
+    void mergeIsolation(const crash_evidence::part &part);
+    bool mayProbe(part_id part, const suspect_table::isolation &isolation) const;
+    /// Whether this is one of the entry VMs whose requests may be a probe in this time slot. All VMs compute the same
+    /// order of VMs.
+    bool isProber(part_id part, unsigned probes, std::int64_t slot) const;
+    void detectCrashes();
+    void isolateParts();
+    void repeatIsolations();
+    void send(action_list &actions);
+    crash_evidence::part describePart(part_id part) const;
+    std::vector<part_id> takeChangedParts();
+    void logPart(std::string_view event, part_id part, std::string_view source);
+
+    environment m_environment;
+    suspect_table m_parts;
+    runner_crash_detector m_runners;
+    std::unordered_map<attempt_number, attempt> m_attempts;
+    std::unordered_map<runner_id, std::int64_t> m_startTimes;
+    /// Parts and runners of which the connected entry VMs don't have the newest evidence yet, with the time from which
+    /// it may be sent.
+    std::unordered_map<part_id, steady_time> m_changedParts;
+    std::set<runner_key> m_changedRunners;
+    std::set<part_id> m_loggedSuspects;
+    std::vector<log_decision> m_log;
+    steady_time m_nextCheck;
+    steady_time m_nextSend;
+    steady_time m_nextRepetition;
+    steady_time m_checkUntil;
+    bool m_hasNewIsolations = false;
+};
+
+} // namespace crocuslane
--- a/src/plugins/forwarding/forward_environment.h
+++ b/src/plugins/forwarding/forward_environment.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/random_source.h"
+#include "plugins/forwarding/crash_suspects.h"
 #include "services/backend_picker.h"
 #include "services/member_view.h"
 #include "services/rollout_policy.h"
@@ -20,6 +21,8 @@
     rollout_policy *rollouts = nullptr;
     /// Null when this VM runs without other entry VMs.
     member_view *members = nullptr;
+    /// Null when no prompt part is suspected of crashing runners, in tests.
+    crash_suspects *suspects = nullptr;
 };
 
 } // namespace crocuslane
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds minimumSilenceTimeout{500};
 constexpr std::chrono::milliseconds minimumRetryAfter{300};
 constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
+// A request with an isolated prompt part is refused again until the part is released, which takes half a minute at
+// least.
+constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
 // Assumed length of an answer when the caller states neither an estimate nor a maximum.
 constexpr std::uint32_t defaultOutputTokens = 200;
 std::string milliseconds(duration value)
@@ -117,6 +120,14 @@
     const bool isModelChosenHere = request.model.empty() && !route.models.empty();
     setModel(created, isModelChosenHere ? route.models.front().value() : std::string());
     created.lastEvent = request.resumeAfter;
+    if (m_environment.suspects != nullptr) {
+        const crash_suspects::verdict verdict = m_environment.suspects->judge(request.prompt);
+        if (verdict == crash_suspects::verdict::isolated) {
+            refuse(created, refusal_reason::prompt_part_isolated, actions);
+            return;
+        }
+        created.isProbe = verdict == crash_suspects::verdict::probe;
+    }
     m_retryBudget.recordRequest(created.service, now());
     active_request &added = m_activeRequests.insert_or_assign(request.request, std::move(created)).first->second;
     startOrWait(added, actions);
@@ -291,6 +302,9 @@
     active.triedRunners.insert(choice.runner);
     m_requestByAttempt[started.number] = active.request.request;
     m_environment.backends->attemptStarted(started.number, requirements, choice.runner);
+    if (m_environment.suspects != nullptr) {
+        m_environment.suspects->attemptStarted(started.number, active.request, choice.runner);
+    }
     start_forward action;
     action.attempt = started.number;
     action.request = active.request.request;
@@ -335,6 +349,9 @@
         return;
     }
     active_request &active = *found;
+    if (m_environment.suspects != nullptr && received.head.isGenuine && !received.head.isMisdirected) {
+        m_environment.suspects->headReceived(received.attempt);
+    }
     active.current->answer = received.answer;
     active.current->head = received.head;
     active.confidence = received.head.confidence;
@@ -402,6 +419,9 @@
         active.longestPause = std::max(active.longestPause, now() - active.current->lastActivity);
     }
     active.current->lastActivity = now();
+    if (m_environment.suspects != nullptr) {
+        m_environment.suspects->eventReceived(received.attempt);
+    }
     if (!active.current->hasEvent) {
         observe(active, *active.current, attempt_result::answered);
         active.current->hasEvent = true;
@@ -443,6 +463,9 @@
     if (hasFailed || !active.current->hasEvent) {
         observe(active, *active.current, hasFailed ? attempt_result::failed : attempt_result::answered);
     }
+    if (m_environment.suspects != nullptr && isSuccess(status)) {
+        m_environment.suspects->answered(completed.attempt, isStream(active.route().kind));
+    }
     endAttempt(active, hasFailed ? attempt_end::failed : attempt_end::complete);
     if (hasFailed) {
         active.failureAnswer = completed.answer;
@@ -487,6 +510,11 @@
         endAttempt(active, attempt_end::not_sent);
     } else {
         observe(active, *active.current, attempt_result::failed);
+        const bool isConnectionLost = failed.failure == attempt_failure::connection_lost;
+        if (m_environment.suspects != nullptr && isConnectionLost
+            && m_environment.suspects->connectionLost(failed.attempt)) {
+            ++active.lostRunners;
+        }
         endAttempt(active, attempt_end::lost);
     }
     retry(active, actions);
@@ -495,7 +523,10 @@
 bool forward_flow::mayRetry(const active_request &active) const
 {
     const bool isAllowed = isRepeatable(active.route().kind) || active.attemptsThatMayHaveRun == 0;
-    return isAllowed && active.attempts < active.route().maximumAttempts && active.deadline - now() > minimumTimeLeft;
+    const bool mayRepeat = m_environment.suspects == nullptr
+        || m_environment.suspects->mayRepeat(active.request.prompt, active.lostRunners);
+    return isAllowed && mayRepeat && active.attempts < active.route().maximumAttempts
+        && active.deadline - now() > minimumTimeLeft;
 }
 
 void forward_flow::retry(active_request &active, action_list &actions)
@@ -503,7 +534,8 @@
     const bool isFirstAttempt = active.attempts == 0;
     if (!mayRetry(active) || (!isFirstAttempt && !m_retryBudget.tryTake(active.service, vmCount(), now()))) {
         endWithoutAnswer(active,
-                         refusal_reason::attempts_exhausted_not_run,
+                         isIsolated(active) ? refusal_reason::prompt_part_isolated
+                                            : refusal_reason::attempts_exhausted_not_run,
                          refusal_reason::attempts_exhausted_may_have_run,
                          actions);
         return;
@@ -524,6 +556,9 @@
 {
     m_requestByAttempt.erase(active.current->number);
     m_environment.backends->attemptEnded(active.current->number, end);
+    if (m_environment.suspects != nullptr) {
+        m_environment.suspects->attemptEnded(active.current->number, end);
+    }
     active.current.reset();
 }
 
@@ -575,12 +610,15 @@
 
 void forward_flow::refuse(active_request &active, refusal_reason reason, action_list &actions)
 {
-    actions.push_back(refuse_forward{active.request.request, reason, retryAfter(active)});
+    actions.push_back(refuse_forward{active.request.request, reason, retryAfter(reason)});
     finish(active, toName(reason), actions);
 }
 
-duration forward_flow::retryAfter(const active_request & /*active*/) const
+duration forward_flow::retryAfter(refusal_reason reason) const
 {
+    if (reason == refusal_reason::prompt_part_isolated) {
+        return isolatedRetryAfter + std::chrono::milliseconds(m_environment.random->below(isolatedRetryAfter.count()));
+    }
     // The jitter keeps callers that were refused together from retrying together.
     return minimumRetryAfter + std::chrono::milliseconds(m_environment.random->below(retryAfterJitterMilliseconds));
 }
@@ -644,6 +682,27 @@
     });
 }
 
+bool forward_flow::isIsolated(const active_request &active) const
+{
+    return m_environment.suspects != nullptr && m_environment.suspects->isIsolated(active.request.prompt);
+}
+
+void forward_flow::refuseIsolated(action_list &actions)
+{
+    std::vector<request_id> isolated;
+    for (const auto &[id, active] : m_activeRequests) {
+        if (!active.current && !active.isProbe && isIsolated(active)) {
+            isolated.push_back(id);
+        }
+    }
+    for (const request_id &id : isolated) {
+        endWithoutAnswer(m_activeRequests.at(id),
+                         refusal_reason::prompt_part_isolated,
+                         refusal_reason::attempts_exhausted_may_have_run,
+                         actions);
+    }
+}
+
 duration forward_flow::silenceTimeout(const active_request &active) const
 {
     const forward_route &route = active.route();
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -35,6 +35,8 @@
     void fail(const forward_failed &failed, action_list &actions);
     /// Starts queued requests after a runner may have gained free capacity, or after the list of runners changed.
     void dispatchWaiting(action_list &actions);
+    /// Refuses the waiting requests whose prompt has an isolated part.
+    void refuseIsolated(action_list &actions);
     /// Handles the requests whose deadline, queue timeout or silence timeout has expired.
     void expire(action_list &actions);
     steady_time nextDeadline() const;
@@ -85,6 +87,10 @@
         /// Attempts that may have run: neither did the runner state that it did not run the request, nor did the
         /// connection fail before the request was sent.
         unsigned attemptsThatMayHaveRun = 0;
+        /// Runners whose connection was lost before the answer was under way.
+        unsigned lostRunners = 0;
+        /// The request has an isolated prompt part and is sent to find out whether that part still crashes runners.
+        bool isProbe = false;
         /// The caller has received the head of a streamed answer.
         bool hasStreamBegun = false;
         steady_time firstEventAt;
@@ -140,7 +146,8 @@
     void finish(active_request &active, std::string_view outcome, action_list &actions);
     void scheduleDeadline(const active_request &active);
     duration silenceTimeout(const active_request &active) const;
-    duration retryAfter(const active_request &active) const;
+    bool isIsolated(const active_request &active) const;
+    duration retryAfter(refusal_reason reason) const;
     std::size_t vmCount() const;
     active_request *findByAttempt(attempt_number attempt);
 
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -51,6 +51,8 @@
         m_environment.backends = &services.find<backend_picker>();
         m_environment.rollouts = services.tryFind<rollout_policy>();
         m_environment.members = services.tryFind<member_view>();
+        m_suspects.emplace(crash_suspects::environment{&m_context->time, m_context->node.id, m_environment.members});
+        m_environment.suspects = &*m_suspects;
         m_flow.emplace(m_environment, m_settings);
     }
 
@@ -64,17 +66,32 @@
                        [&](const forward_completed &completed) { m_flow->complete(completed, actions); },
                        [&](const forward_failed &failed) { m_flow->fail(failed, actions); },
                        [&](const forward_configuration_read &) { m_flow->startWaitingForConfiguration(actions); },
-                       [&](const backend_list_read &) { m_flow->startWaitingForConfiguration(actions); },
+                       [&](const backend_list_read &list) {
+                           m_suspects->setListed(list);
+                           m_flow->startWaitingForConfiguration(actions);
+                       },
+                       [&](const peer_connected &connected) { m_suspects->peerConnected(connected.peer, actions); },
+                       [&](const peer_message_received &received) {
+                           if (const auto *evidence = std::get_if<crash_evidence>(&received.message)) {
+                               m_suspects->merge(*evidence);
+                           }
+                       },
                        [&](const capacity_changed &) { m_flow->dispatchWaiting(actions); },
-                       [&](const timer_expired &) { m_flow->expire(actions); },
+                       [&](const timer_expired &) {
+                           m_suspects->expire(actions);
+                           m_flow->expire(actions);
+                       },
                        [&](const stop_requested &) { m_stopRequestedAt = m_context->time.steadyNow(); },
                        [](const auto &) {}},
             event);
+        if (m_suspects->takeIsolationsAdded()) {
+            m_flow->refuseIsolated(actions);
+        }
     }
 
     steady_time nextDeadline() const override
     {
-        return m_flow ? m_flow->nextDeadline() : steady_time::max();
+        return m_flow ? std::min(m_flow->nextDeadline(), m_suspects->nextDeadline()) : steady_time::max();
     }
 
     bool isIdle() const override
@@ -86,6 +103,7 @@
     {
         status["requests"] = m_flow->size();
         status["waiting"] = m_flow->waiting();
+        m_suspects->describe(status);
         if (const std::string oldest = m_flow->describeOldest(); !oldest.empty()) {
             status["oldest"] = oldest;
         }
@@ -111,6 +129,7 @@
     plugin_context *m_context = nullptr;
     forwarding_settings m_settings;
     forward_environment m_environment;
+    std::optional<crash_suspects> m_suspects;
     std::optional<forward_flow> m_flow;
     std::optional<steady_time> m_stopRequestedAt;
 };
--- /dev/null
+++ b/src/plugins/forwarding/suspect_table.cpp
@@ -0,0 +1,271 @@
+#include "plugins/forwarding/suspect_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace crocuslane {
+
+namespace {
+
+// A part that was never answered is isolated when this many runners ended under it, by this many requests.
+// Where each runner has few requests, only its entry in the list shows seconds later that it ended, so that losses
+// count that may be single answers.
+constexpr unsigned runnersBeforeIsolation = 4;
+constexpr unsigned unconfirmedRunnersBeforeIsolation = 6;
+constexpr unsigned requestsBeforeIsolation = 2;
+// More are needed for a part with a sound answer within soundMemory: sound requests that wait at a runner when it ends
+// lose it as well, and a part that many of them share is lost at several runners in a row.
+constexpr unsigned runnersBeforeIsolationOfSoundPart = 6;
+constexpr unsigned requestsBeforeIsolationOfSoundPart = 3;
+constexpr std::chrono::seconds soundMemory{30};
+constexpr std::chrono::seconds soundSweepInterval{5};
+// Other VMs that know of a sound answer have this time to say so.
+constexpr std::chrono::milliseconds objectionTime{600};
+constexpr unsigned runnersBeforeSuspicion = 3;
+constexpr std::chrono::seconds lossLifetime{60};
+// An isolation ends when no request with the part came for this time.
+constexpr std::chrono::minutes isolationLifetime{10};
+constexpr std::chrono::milliseconds reportInaccuracy{1000};
+constexpr std::size_t maximumSuspects = 2048;
+constexpr std::size_t maximumSoundParts = 32768;
+constexpr std::size_t maximumIsolated = 32;
+constexpr std::size_t maximumLossesPerPart = 16;
+
+} // namespace
+
+bool suspect_table::addLoss(part_id part, unsigned position, const loss &loss, steady_time now)
+{
+    const std::optional<steady_time> sound = lastSound(part);
+    if ((sound && *sound >= loss.at) || now - loss.at > lossLifetime || isExplained(loss.runner, part)) {
+        return false;
+    }
+    if (m_suspects.size() >= maximumSuspects && !m_suspects.contains(part)) {
+        return false;
+    }
+    suspect &found = m_suspects[part];
+    found.position = std::max(found.position, position);
+    const bool isKnown = std::any_of(found.losses.begin(),
+                                     found.losses.end(),
+                                     [&loss](const suspect_table::loss &each) { return each.runner == loss.runner; });
+    if (isKnown) {
+        return false;
+    }
+    if (found.losses.size() >= maximumLossesPerPart) {
+        found.losses.erase(found.losses.begin());
+    }
+    found.losses.push_back(loss);
+    if (found.isolated) {
+        explainLosses(part);
+    }
+    return true;
+}
+
+suspect_table::sound_effect suspect_table::addSound(part_id part, steady_time at, steady_time now)
+{
+    if (now >= m_nextSoundSweep) {
+        m_nextSoundSweep = now + soundSweepInterval;
+        std::erase_if(m_lastSound, [now](const auto &each) { return now - each.second > soundMemory; });
+    }
+    const auto known = m_lastSound.find(part);
+    if (known != m_lastSound.end()) {
+        known->second = std::max(known->second, at);
+    } else if (m_lastSound.size() < maximumSoundParts && now - at <= soundMemory) {
+        m_lastSound.emplace(part, at);
+    }
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end()) {
+        return sound_effect::none;
+    }
+    suspect &suspect = found->second;
+    const bool endsIsolation = suspect.isolated && suspect.isolated->since <= at;
+    if (suspect.isolated && !endsIsolation) {
+        return sound_effect::none;
+    }
+    const bool hasCleared = std::erase_if(suspect.losses, [at](const loss &each) { return each.at <= at; }) > 0;
+    if (hasCleared) {
+        suspect.eligibleSince.reset();
+    }
+    if (suspect.losses.empty() || endsIsolation) {
+        m_suspects.erase(found);
+    }
+    if (endsIsolation) {
+        return sound_effect::isolation_ended;
+    }
+    return hasCleared ? sound_effect::losses_cleared : sound_effect::none;
+}
+
+std::optional<steady_time> suspect_table::lastSound(part_id part) const
+{
+    const auto found = m_lastSound.find(part);
+    return found == m_lastSound.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool suspect_table::wasRecentlySound(part_id part, steady_time now) const
+{
+    const std::optional<steady_time> sound = lastSound(part);
+    return sound && now - *sound <= soundMemory;
+}
+
+bool suspect_table::isExplained(std::uint64_t runner, part_id part) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [runner, part](const auto &each) {
+        const auto &[id, suspect] = each;
+        return suspect.isolated && id != part
+            && std::any_of(suspect.losses.begin(), suspect.losses.end(), [runner](const loss &loss) {
+                   return loss.runner == runner;
+               });
+    });
+}
+
+void suspect_table::explainLosses(part_id isolated)
+{
+    const std::vector<loss> &explained = m_suspects[isolated].losses;
+    eraseLossesIf([&explained](const loss &loss) {
+        return std::any_of(explained.begin(), explained.end(), [&loss](const suspect_table::loss &other) {
+            return other.runner == loss.runner;
+        });
+    });
+}
+
+void suspect_table::eraseLossesIf(const std::function<bool(const loss &)> &condition)
+{
+    for (auto &[id, suspect] : m_suspects) {
+        if (!suspect.isolated) {
+            std::erase_if(suspect.losses, condition);
+        }
+    }
+    std::erase_if(m_suspects, [](const auto &each) { return each.second.losses.empty() && !each.second.isolated; });
+}
+
+bool suspect_table::isolate(part_id part, unsigned position, const isolation &isolation)
+{
+    const std::optional<steady_time> sound = lastSound(part);
+    // Both times may come from other VMs, late by the time in transit.
+    const bool wasAnswered = sound && *sound + reportInaccuracy >= isolation.since;
+    if (findIsolation(part) != nullptr || wasAnswered || isolatedCount() >= maximumIsolated) {
+        return false;
+    }
+    suspect &added = m_suspects[part];
+    added.position = std::max(added.position, position);
+    added.isolated = isolation;
+    explainLosses(part);
+    return true;
+}
+
+suspect_table::counts suspect_table::count(const suspect &suspect, const crash_check &isCrash) const
+{
+    counts result;
+    std::set<std::uint32_t> requests;
+    for (const loss &loss : suspect.losses) {
+        ++(isCrash(loss) ? result.runners : result.unconfirmedRunners);
+        requests.insert(loss.request);
+    }
+    result.requests = static_cast<unsigned>(requests.size());
+    return result;
+}
+
+bool suspect_table::isEnough(part_id part, const counts &counts, steady_time now) const
+{
+    if (wasRecentlySound(part, now)) {
+        return counts.runners >= runnersBeforeIsolationOfSoundPart
+            && counts.requests >= requestsBeforeIsolationOfSoundPart;
+    }
+    // Each runner counts with its share of the number that is enough.
+    const unsigned sum =
+        counts.runners * unconfirmedRunnersBeforeIsolation + counts.unconfirmedRunners * runnersBeforeIsolation;
+    return sum >= runnersBeforeIsolation * unconfirmedRunnersBeforeIsolation
+        && counts.requests >= requestsBeforeIsolation;
+}
+
+std::optional<suspect_table::part_id> suspect_table::isolateMostSuspect(const crash_check &isCrash, steady_time now)
+{
+    std::optional<part_id> best;
+    counts bestCounts;
+    bool isDue = false;
+    for (auto &[id, suspect] : m_suspects) {
+        if (suspect.isolated) {
+            continue;
+        }
+        const counts counted = count(suspect, isCrash);
+        if (!isEnough(id, counted, now)) {
+            suspect.eligibleSince.reset();
+            continue;
+        }
+        if (!suspect.eligibleSince) {
+            suspect.eligibleSince = now;
+        }
+        isDue = isDue || now - *suspect.eligibleSince >= objectionTime;
+        // Of parts with as many lost runners, the one that fewer requests share is isolated.
+        const unsigned bestPosition = best ? m_suspects[*best].position : 0;
+        if (!best || counted.runners > bestCounts.runners
+            || (counted.runners == bestCounts.runners
+                && std::pair(suspect.position, id) > std::pair(bestPosition, *best))) {
+            best = id;
+            bestCounts = counted;
+        }
+    }
+    if (!best || !isDue || now - *m_suspects[*best].eligibleSince < objectionTime
+        || !isolate(*best, 0, {now, now, 0})) {
+        return std::nullopt;
+    }
+    return best;
+}
+
+bool suspect_table::isSuspect(part_id part, const crash_check &isCrash, steady_time now) const
+{
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end() || wasRecentlySound(part, now)) {
+        return false;
+    }
+    const counts counted = count(found->second, isCrash);
+    return counted.runners >= runnersBeforeSuspicion && counted.requests >= requestsBeforeIsolation;
+}
+
+void suspect_table::eraseLosses(std::uint64_t runner)
+{
+    eraseLossesIf([runner](const loss &loss) { return loss.runner == runner; });
+}
+
+std::vector<suspect_table::part_id> suspect_table::expire(steady_time now)
+{
+    std::vector<part_id> ended;
+    for (auto &[id, suspect] : m_suspects) {
+        if (suspect.isolated && now - suspect.isolated->lastRefusal > isolationLifetime) {
+            suspect.isolated.reset();
+            ended.push_back(id);
+        }
+    }
+    eraseLossesIf([now](const loss &loss) { return now - loss.at > lossLifetime; });
+    return ended;
+}
+
+suspect_table::isolation *suspect_table::findIsolation(part_id part)
+{
+    const auto found = m_suspects.find(part);
+    return found == m_suspects.end() || !found->second.isolated ? nullptr : &*found->second.isolated;
+}
+
+const suspect_table::isolation *suspect_table::findIsolation(part_id part) const
+{
+    const suspect *found = find(part);
+    return found == nullptr || !found->isolated ? nullptr : &*found->isolated;
+}
+
+const suspect_table::suspect *suspect_table::find(part_id part) const
+{
+    const auto found = m_suspects.find(part);
+    return found == m_suspects.end() ? nullptr : &found->second;
+}
+
+const std::unordered_map<suspect_table::part_id, suspect_table::suspect> &suspect_table::suspects() const
+{
+    return m_suspects;
+}
+
+std::size_t suspect_table::isolatedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_suspects.begin(), m_suspects.end(), [](const auto &each) { return each.second.isolated; }));
+}
+
+} // namespace crocuslane
--- /dev/null
+++ b/src/plugins/forwarding/suspect_table.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace crocuslane {
+
+/// Counts, per prompt part, the runners that ended under it, and isolates a part under which too many ended without a
+/// sound answer. All tables are bounded.
+class suspect_table
+{
+public:
+    using part_id = std::uint64_t;
+
+    /// An attempt that lost its runner before the answer was under way.
+    struct loss {
+        std::uint64_t runner = 0;
+        std::uint32_t request = 0;
+        steady_time at;
+    };
+    struct isolation {
+        steady_time since;
+        /// When a request with the part was last refused at any VM, as far as known.
+        steady_time lastRefusal;
+        unsigned probes = 0;
+    };
+    struct suspect {
+        /// Position in the prompts, counted from 0; 0 is the part that most requests share.
+        unsigned position = 0;
+        /// One per runner, since the last sound answer.
+        std::vector<loss> losses;
+        std::optional<isolation> isolated;
+        /// Since when the losses are enough to isolate the part.
+        std::optional<steady_time> eligibleSince;
+    };
+    struct counts {
+        /// Runners of which it is known that they ended.
+        unsigned runners = 0;
+        /// Runners that lost the request and may have ended.
+        unsigned unconfirmedRunners = 0;
+        unsigned requests = 0;
+    };
+    enum class sound_effect {
+        none,
+        losses_cleared,
+        isolation_ended,
+    };
+    /// Whether the runner of a loss ended at that time.
+    using crash_check = std::function<bool(const loss &loss)>;
+
+    /// False when the loss is known, is older than a sound answer, or is explained by an isolated part.
+    bool addLoss(part_id part, unsigned position, const loss &loss, steady_time now);
+    sound_effect addSound(part_id part, steady_time at, steady_time now);
+    std::optional<steady_time> lastSound(part_id part) const;
+    /// Isolates a part on the evidence of another VM. False when it is isolated already, was answered since, or the
+    /// table of isolated parts is full.
+    bool isolate(part_id part, unsigned position, const isolation &isolation);
+    /// Isolates the part under which most runners ended, if there are enough. Returns its id.
+    std::optional<part_id> isolateMostSuspect(const crash_check &isCrash, steady_time now);
+    counts count(const suspect &suspect, const crash_check &isCrash) const;
+    /// Whether several requests with the part lost runners and none was answered.
+    bool isSuspect(part_id part, const crash_check &isCrash, steady_time now) const;
+    void eraseLosses(std::uint64_t runner);
+    /// Removes old entries; returns the parts whose isolation ended because no more requests with them came.
+    std::vector<part_id> expire(steady_time now);
+
+    isolation *findIsolation(part_id part);
+    const isolation *findIsolation(part_id part) const;
+    const suspect *find(part_id part) const;
+    const std::unordered_map<part_id, suspect> &suspects() const;
+    std::size_t isolatedCount() const;
+
+private:
+    bool isExplained(std::uint64_t runner, part_id part) const;
+    /// Runner losses that an isolated part explains don't count against other parts.
+    void explainLosses(part_id isolated);
+    /// Of parts that are not isolated.
+    void eraseLossesIf(const std::function<bool(const loss &)> &condition);
+    bool wasRecentlySound(part_id part, steady_time now) const;
+    bool isEnough(part_id part, const counts &counts, steady_time now) const;
+
+    std::unordered_map<part_id, suspect> m_suspects;
+    std::unordered_map<part_id, steady_time> m_lastSound;
+    steady_time m_nextSoundSweep;
+};
+
+} // namespace crocuslane
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -3,6 +3,7 @@
 #include "support/action_queries.h"
 
 #include <catch2/catch.hpp>
+#include <xxhash.h>
 
 #include <map>
 
@@ -578,3 +579,114 @@
     CHECK(line.fields.back().first == "parts");
     CHECK(line.fields.back().second == "5c1e07a2,91bd3f06");
 }
+
+namespace {
+
+class isolated_part_fixture : public forward_flow_fixture
+{
+protected:
+    isolated_part_fixture()
+        : m_suspects({&m_clock, vm_id("vm"), nullptr})
+    {
+        m_environment.suspects = &m_suspects;
+    }
+
+    action_list sendWithPart(std::uint64_t part, const std::string &id, const std::string &path = "/model/")
+    {
+        forward_request request;
+        request.request = request_id(id);
+        request.path = path;
+        request.prompt = {{1, 800}, {part, 400}, {std::hash<std::string>{}(id), 200}};
+        action_list actions;
+        m_flow->receive(request, actions);
+        return actions;
+    }
+
+    /// As another VM reports it.
+    void isolatePart(std::uint64_t part)
+    {
+        crash_evidence evidence;
+        evidence.parts.push_back({part, 1, {}, {}, crash_evidence::isolation{}});
+        m_suspects.merge(evidence);
+    }
+
+    crash_suspects m_suspects;
+};
+
+} // namespace
+
+// Guards against requests that reach runners although their part is known to crash them, and against callers that
+// repeat them at once.
+TEST_CASE_METHOD(isolated_part_fixture, "isolated part, new request, is refused at once as not run", "[forwarding]")
+{
+    isolatePart(7);
+    const action_list actions = sendWithPart(7, "r");
+    CHECK(refusal(actions) == refusal_reason::prompt_part_isolated);
+    CHECK(one<refuse_forward>(actions).retryAfter >= std::chrono::seconds(10));
+    CHECK(all<start_forward>(actions).empty());
+    CHECK(m_flow->size() == 0);
+    CHECK(all<start_forward>(sendWithPart(8, "other part")).size() == 1);
+    forward_request own;
+    own.request = request_id("own part");
+    own.path = "/model/";
+    own.prompt = {{1, 800}, {7, 200}};
+    action_list ownActions;
+    m_flow->receive(own, ownActions);
+    CHECK(all<start_forward>(ownActions).size() == 1);
+}
+
+// Guards against requests that were queued before their part was isolated and reach runners afterwards.
+TEST_CASE_METHOD(isolated_part_fixture, "isolated part, queued request, is refused as not run", "[forwarding]")
+{
+    for (const char *id : {"x", "y", "z"}) {
+        REQUIRE(all<start_forward>(sendWithPart(8, id)).size() == 1);
+    }
+    REQUIRE(all<start_forward>(sendWithPart(7, "queued")).empty());
+    REQUIRE(all<start_forward>(sendWithPart(8, "sound")).empty());
+    isolatePart(7);
+    action_list actions;
+    m_flow->refuseIsolated(actions);
+    CHECK(one<refuse_forward>(actions).request == request_id("queued"));
+    CHECK(refusal(actions) == refusal_reason::prompt_part_isolated);
+    CHECK(m_flow->waiting() == 1);
+}
+
+// Guards against a repetition that takes down one more runner, and against a promise that a request has not run which
+// did.
+TEST_CASE_METHOD(isolated_part_fixture, "isolated part, request loses its runner, is not repeated", "[forwarding]")
+{
+    const auto first = one<start_forward>(sendWithPart(7, "r"));
+    isolatePart(7);
+    action_list actions;
+    m_flow->refuseIsolated(actions);
+    CHECK(actions.empty());
+    actions = fail(first.attempt, attempt_failure::connection_lost);
+    CHECK(all<start_forward>(actions).empty());
+    CHECK(refusal(actions) == refusal_reason::attempts_exhausted_may_have_run);
+}
+
+// Guards against a request that takes down as many runners as its route allows attempts.
+TEST_CASE_METHOD(isolated_part_fixture, "suspected part, request lost two runners, takes no third", "[forwarding]")
+{
+    const auto crash = [this](const start_forward &attempt) {
+        crash_evidence evidence;
+        // Another VM saw the runner end.
+        action_list actions = fail(attempt.attempt, attempt_failure::connection_lost);
+        evidence.runners.push_back(
+            {XXH3_64bits_withSeed(attempt.runner.value().data(), attempt.runner.value().size(), 0), {}});
+        m_suspects.merge(evidence);
+        return actions;
+    };
+    m_backends.runners = {"a", "b", "c", "d", "e", "f"};
+    crash(one<start_forward>(sendWithPart(7, "first", "/order/")));
+    m_backends.runners.erase(m_backends.runners.begin());
+    const auto second = one<start_forward>(crash(one<start_forward>(sendWithPart(7, "second"))));
+    // The loss of the second attempt is counted before the decision about a third one.
+    crash_evidence evidence;
+    evidence.runners.push_back(
+        {XXH3_64bits_withSeed(second.runner.value().data(), second.runner.value().size(), 0), {}});
+    m_suspects.merge(evidence);
+    const action_list actions = fail(second.attempt, attempt_failure::connection_lost);
+    CHECK(all<start_forward>(actions).empty());
+    CHECK(refusal(actions) == refusal_reason::attempts_exhausted_may_have_run);
+}
--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -192,6 +192,18 @@
     m_lostAnswers = share;
 }
 
+void simulated_fleet::setCrashing(bool isCrashing)
+{
+    m_isCrashing = isCrashing;
+}
+
+void simulated_fleet::endRandomRunner()
+{
+    if (!m_running.empty()) {
+        crash(*std::next(m_running.begin(), static_cast<std::ptrdiff_t>(m_random.below(m_running.size()))));
+    }
+}
+
 void simulated_fleet::send(std::size_t number, std::uint64_t part)
 {
     constexpr std::uint32_t tokensPerPart = 100;
@@ -250,9 +262,14 @@
             });
         } else if (const auto *refused = std::get_if<refuse_forward>(&each)) {
             ++m_refusals[refused->reason][number];
+            const bool isSound = m_partByRequest[refused->request.value()] != crashingPart;
+            m_refusedSoundRequests += isSound && refused->reason == refusal_reason::prompt_part_isolated ? 1 : 0;
         } else if (const auto *line = std::get_if<log_decision>(&each)) {
             ++m_logLines[std::string(line->event)];
         } else if (const auto *sent = std::get_if<send_to_peer>(&each)) {
+            if (const auto *evidence = std::get_if<crash_evidence>(&sent->message)) {
+                m_largestMessage = std::max(m_largestMessage, evidence->parts.size() + evidence->runners.size());
+            }
             const duration delay =
                 messageDelay + m_random.below(messageDelayJitter.count()) * std::chrono::milliseconds(1);
             for (std::size_t other = 0; other < m_vms.size(); ++other) {
@@ -272,7 +289,8 @@
     started.runner = action.runner.value();
     started.part = m_partByRequest[action.request.value()];
     started.started = now();
-    started.isLost = started.part != crashingPart && m_random.unit() < m_lostAnswers;
+    const bool losesAnswers = (started.runner.back() - '0') % 5 < 3;
+    started.isLost = started.part != crashingPart && losesAnswers && m_random.unit() < m_lostAnswers;
     if (m_running.contains(started.runner)) {
         m_sent.push_back({now(), number, started.part == crashingPart});
     }
@@ -298,7 +316,7 @@
             end(forward_failed{copy.number, attempt_failure::not_sent});
         } else if (now() < copy.started + answerBegin + copy.events * eventInterval) {
             continue;
-        } else if (copy.part == crashingPart) {
+        } else if (copy.part == crashingPart && m_isCrashing) {
             crash(copy.runner);
         } else if (copy.isLost) {
             end(forward_failed{copy.number, attempt_failure::connection_lost});
@@ -407,6 +425,16 @@
     return found == m_answered.end() ? 0 : found->second;
 }
 
+std::size_t simulated_fleet::refusedSoundRequests() const
+{
+    return m_refusedSoundRequests;
+}
+
+std::size_t simulated_fleet::largestMessage() const
+{
+    return m_largestMessage;
+}
+
 std::size_t simulated_fleet::logLines(std::string_view event) const
 {
     const auto found = m_logLines.find(event);
--- a/src/plugins/forwarding/tests/simulated_fleet.h
+++ b/src/plugins/forwarding/tests/simulated_fleet.h
@@ -33,7 +33,11 @@
     void run(duration time);
     /// Replaces the VM by a new process.
     void restart(std::size_t vm);
-    /// Every runner loses this share of its answers, without ending.
+    /// Whether requests with the crashing part end their runners (as at the beginning) or are answered.
+    void setCrashing(bool isCrashing);
+    /// Ends a running runner for a reason of its own.
+    void endRandomRunner();
+    /// Six tenths of the runners lose this share of their answers, without ending.
     void setLostAnswers(double share);
 
     steady_time now() const;
@@ -44,7 +48,11 @@
     /// Refusals with the given reason since the last call of clearRefusals(), by VM.
     std::map<std::size_t, std::size_t> refusals(refusal_reason reason) const;
     void clearRefusals();
+    /// Requests with other parts that were refused for an isolated part.
+    std::size_t refusedSoundRequests() const;
     std::size_t answered(std::uint64_t part) const;
+    /// Most parts and runners in one message between VMs.
+    std::size_t largestMessage() const;
     /// Log lines of all VMs with the given name.
     std::size_t logLines(std::string_view event) const;
 
@@ -81,6 +89,9 @@
     std::map<std::string, std::size_t, std::less<>> m_logLines;
     std::uint64_t m_requests = 0;
     double m_lostAnswers = 0.0;
+    bool m_isCrashing = true;
+    std::size_t m_refusedSoundRequests = 0;
+    std::size_t m_largestMessage = 0;
     seeded_random m_random{7};
 };
 
