Count a stream that ends without an event as a lost runner

A stream may come without a length and end with its connection, so that a runner that ends after the head of the answer looks like one that answered. The loss was not counted for the prompt parts. Test: 'stream, ends without an event, counts as a lost runner'.

--- a/src/plugins/forwarding/crash_suspects.cpp
+++ b/src/plugins/forwarding/crash_suspects.cpp
@@ -255,7 +255,11 @@
 void crash_suspects::answered(attempt_number number, bool isStream)
 {
     const attempt *found = find(number);
-    // A stream without a length may end with its runner, before its first events.
+    // A stream without a length may end with its runner and look complete.
+    if (found != nullptr && isStream && found->events == 0) {
+        connectionLost(number);
+        return;
+    }
     if (found != nullptr && (!isStream || found->events > maximumEventsOfLoss)) {
         noteSignOfLife(*found);
         noteSound(found->prompt);
--- a/src/plugins/forwarding/crash_suspects.h
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -46,7 +46,7 @@
     /// The attempt ended because its connection was lost, not because this VM closed it. Returns true when the answer
     /// was not under way yet.
     bool connectionLost(attempt_number attempt);
-    /// The answer has arrived completely and is a success.
+    /// The answer has arrived completely and is a success. A stream without events counts as a lost connection.
     void answered(attempt_number attempt, bool isStream);
     /// Called for every attempt, after the others.
     void attemptEnded(attempt_number attempt, attempt_end end);
--- a/src/plugins/forwarding/tests/crashing_part_test.cpp
+++ b/src/plugins/forwarding/tests/crashing_part_test.cpp
@@ -1,3 +1,4 @@
+#include "plugins/forwarding/crash_suspects.h"
 #include "simulated_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -179,3 +180,31 @@
     }
     CHECK(fleet.refusals(refusal_reason::prompt_part_isolated).empty());
 }
+
+// Guards against crashed runners whose streams look complete, because they have no length and end with the connection.
+TEST_CASE("stream, ends without an event, counts as a lost runner", "[forwarding]")
+{
+    manual_clock clock;
+    crash_suspects suspects({&clock, vm_id("vm"), nullptr});
+    forward_request request;
+    request.prompt = {{simulated_fleet::sharedPart, 100}, {simulated_fleet::crashingPart, 100}, {9, 100}};
+    for (attempt_number number = 1; number <= 6; ++number) {
+        request.request = request_id("r" + std::to_string(number));
+        suspects.attemptStarted(number, request, runner_id("runner-" + std::to_string(number)));
+        suspects.headReceived(number);
+        suspects.answered(number, true);
+        suspects.attemptEnded(number, attempt_end::complete);
+        // Another request shows that the shared part is sound.
+        forward_request sound = request;
+        sound.prompt[1].id = firstSoundPart;
+        suspects.attemptStarted(number + 100, sound, runner_id("other"));
+        suspects.answered(number + 100, false);
+        suspects.attemptEnded(number + 100, attempt_end::complete);
+    }
+    action_list actions;
+    suspects.expire(actions);
+    clock.advance(1s);
+    suspects.expire(actions);
+    CHECK(suspects.isIsolated(request.prompt));
+    CHECK_FALSE(suspects.isIsolated({{simulated_fleet::sharedPart, 100}, {firstSoundPart, 100}, {9, 100}}));
+}
