--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -336,7 +336,7 @@
     }
 }
 
-void simulated_fleet::crash(const std::string &runner)
+void simulated_fleet::crash(std::string runner)
 {
     m_crashes.push_back(now());
     m_running.erase(runner);
--- a/src/plugins/forwarding/tests/simulated_fleet.h
+++ b/src/plugins/forwarding/tests/simulated_fleet.h
@@ -67,7 +67,7 @@
     void apply(std::size_t number, const action_list &actions);
     void startForward(std::size_t number, const start_forward &action);
     void progress();
-    void crash(const std::string &runner);
+    void crash(std::string runner);
     void updateRunners();
     void sendList(std::size_t number);
 
