--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -166,6 +166,42 @@
     std::vector<version_evidence> entries;
 };
 
+/// What entry VMs know of prompt parts under which runners ended, and of the runners that ended. Each VM forwards what
+/// is new to it. Ages are at the time of sending.
+struct crash_evidence {
+    struct lost_attempt {
+        /// Hash of the runner's id and start time.
+        std::uint64_t runner = 0;
+        /// Hash of the request's id.
+        std::uint32_t request = 0;
+        std::chrono::milliseconds age{};
+    };
+    struct isolation {
+        std::chrono::milliseconds age{};
+        /// Time since the last request with the part was refused.
+        std::chrono::milliseconds refusalAge{};
+        /// Requests with the part that were sent since, to find out whether it still crashes runners.
+        std::uint32_t probes = 0;
+    };
+    struct part {
+        std::uint64_t id = 0;
+        /// Position in the prompts, counted from 0.
+        std::uint32_t position = 0;
+        /// Attempts that lost their runner before the answer was under way.
+        std::vector<lost_attempt> losses;
+        /// Time since a request with the part was last answered; empty when the sender knows of no answer.
+        std::optional<std::chrono::milliseconds> soundAge;
+        std::optional<isolation> isolated;
+    };
+    struct crashed_runner {
+        std::uint64_t runner = 0;
+        std::chrono::milliseconds age{};
+    };
+
+    std::vector<part> parts;
+    std::vector<crashed_runner> runners;
+};
+
 using peer_message = std::variant<heartbeat,
                                   exchange_digest,
                                   exchange_delta,
@@ -175,6 +211,7 @@
                                   configuration_fetch,
                                   configuration_text,
                                   stream_part,
-                                  version_evidence_list>;
+                                  version_evidence_list,
+                                  crash_evidence>;
 
 } // namespace crocuslane
