--- a/src/plugins/rollouts/evidence_exchange.cpp
+++ b/src/plugins/rollouts/evidence_exchange.cpp
@@ -30,7 +30,7 @@
     if (found == m_entries.end()) {
         return m_entries.size() < maximumEntries && m_entries.emplace(id, entry).second;
     }
-    if (versionOf(found->second) >= versionOf(entry)) {
+    if (!(versionOf(found->second) < versionOf(entry))) {
         return false;
     }
     found->second = entry;
@@ -67,7 +67,7 @@
         version_evidence_list list;
         auto &known = m_versionsByPeer[peer];
         for (const auto &[id, entry] : m_entries) {
-            const bool isNewer = versionOf(entry) > known[id];
+            const bool isNewer = known[id] < versionOf(entry);
             if (!isNewer || id.vm == peer || list.entries.size() == maximumEntriesPerMessage) {
                 continue;
             }
--- a/src/plugins/rollouts/evidence_exchange.h
+++ b/src/plugins/rollouts/evidence_exchange.h
@@ -4,6 +4,7 @@
 #include "kernel/peer_message.h"
 
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace crocuslane {
@@ -31,13 +32,19 @@
         vm_id vm;
         std::uint64_t incarnation = 0;
 
-        auto operator<=>(const key &) const = default;
+        bool operator<(const key &other) const
+        {
+            return std::tie(service, vm, incarnation) < std::tie(other.service, other.vm, other.incarnation);
+        }
     };
     struct entry_version {
         std::uint64_t orderPosition = 0;
         std::uint64_t counter = 0;
 
-        auto operator<=>(const entry_version &) const = default;
+        bool operator<(const entry_version &other) const
+        {
+            return std::tie(orderPosition, counter) < std::tie(other.orderPosition, other.counter);
+        }
     };
 
     static key keyOf(const version_evidence &entry);
