--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-// Fractions of the order's time limit. Sessions change their version at the cutover, and may not do so in the first
-// half of the time.
+// Fractions of the order's time limit. Sessions may not change their version in the first half of the time.
 constexpr double cutoverFraction = 0.55;
 constexpr double latestCompletionFraction = 0.9;
 constexpr double sessionCanaryFraction = 0.505;
