--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -913,6 +913,58 @@
     return result;
 }
 
+void passed_attempts::add(const std::string &attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_attempts.insert(attempt);
+}
+
+bool passed_attempts::contains(const std::string &attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_attempts.contains(attempt);
+}
+
+order_clients::order_clients(int count, const std::string &address, passed_attempts &passed, recorder &record)
+    : m_address(address)
+    , m_passed(passed)
+    , m_record(record)
+{
+    m_threads.reserve(static_cast<std::size_t>(count));
+    for (int client = 0; client < count; ++client) {
+        m_threads.emplace_back([this, client] { run(client); });
+    }
+}
+
+void order_clients::run(int client)
+{
+    const std::unique_ptr<connection> kept = connection::open(m_address);
+    for (int number = 0; kept != nullptr && !m_isOver; ++number) {
+        client_request request;
+        request.address = m_address;
+        // The first request makes the connection a kept one.
+        request.method = number == 0 ? "GET" : "POST";
+        request.path = number == 0 ? "/look/1" : "/order/1";
+        request.attemptId = "order-" + std::to_string(client) + "-" + std::to_string(number);
+        const client_result result = send(request, m_record, kept.get());
+        if (result.status == 0) {
+            const bool isClosed = result.time < request.deadline;
+            m_lost += number > 0 && isClosed && m_passed.contains(request.attemptId) ? 1 : 0;
+            return;
+        }
+    }
+}
+
+int order_clients::finish()
+{
+    m_isOver = true;
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    return m_lost;
+}
+
 bool waitFor(const std::function<bool()> &condition, milliseconds limit)
 {
     const auto deadline = steady_clock::now() + limit;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -284,6 +285,40 @@
 /// Sends a request as a client does, on a new connection or on @p kept, and records it.
 client_result send(const client_request &request, recorder &record, connection *kept = nullptr);
 
+/// Attempts that reached a runner.
+class passed_attempts
+{
+public:
+    void add(const std::string &attempt);
+    bool contains(const std::string &attempt);
+
+private:
+    std::mutex m_mutex;
+    std::set<std::string> m_attempts;
+};
+
+/// Clients that send orders to one router process, each over one kept connection, one after the other. A client ends
+/// when its connection is closed without an answer.
+class order_clients
+{
+public:
+    order_clients(int count, const std::string &address, passed_attempts &passed, recorder &record);
+
+    /// Ends the clients and returns how many requests on kept connections reached a runner and got no answer before
+    /// their connection was closed.
+    int finish();
+
+private:
+    void run(int client);
+
+    std::string m_address;
+    passed_attempts &m_passed;
+    recorder &m_record;
+    std::atomic<bool> m_isOver = false;
+    std::atomic<int> m_lost = 0;
+    std::vector<std::thread> m_threads;
+};
+
 /// True once @p condition holds; false when it doesn't within @p limit.
 bool waitFor(const std::function<bool()> &condition, milliseconds limit);
 
