Write a line when a signal or an exception ends a process

Callers saw requests without an answer, and the logs of the processes that had ended said nothing about it. The last line of such a process now has the signal, the address that could not be accessed, the message of an unhandled exception, and the stack as offsets into the program.

--- a/src/apps/crocuslaned/main.cpp
+++ b/src/apps/crocuslaned/main.cpp
@@ -1,3 +1,4 @@
+#include "base/crash_log.h"
 #include "base/digest.h"
 #include "base/logger.h"
 #include "configuration/settings.h"
@@ -96,6 +97,7 @@
 {
     const real_clock clock;
     logger log(clock, daemonSettings.node.id, daemonSettings.logLevel);
+    installCrashLog(daemonSettings.node.id);
     const std::optional<entry_node::settings> settings = makeNodeSettings(daemonSettings, clock, log);
     if (!settings) {
         return exitFailure;
