Let the crash log end a process in every state

The line now goes out before the stack is walked and only if it doesn't block, the handler has its own stack, and a fault in the handler ends the process by the first signal.

--- a/src/libs/base/crash_log.cpp
+++ b/src/libs/base/crash_log.cpp
@@ -1,11 +1,13 @@
 #include "base/crash_log.h"
 
 #include <execinfo.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstddef>
 #include <cstdint>
 #include <cstdlib>
 #include <exception>
@@ -22,12 +24,16 @@
 constexpr std::array fatalSignals{SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT};
 constexpr std::size_t maximumNameBytes = 128;
 constexpr std::size_t maximumLineBytes = 1024;
+// The handler has a stack of its own, so that it also runs after a stack overflow.
+constexpr std::size_t handlerStackBytes = 65536;
 constexpr std::size_t maximumReasonBytes = 256;
 constexpr int maximumFrames = 16;
 constexpr unsigned hexadecimalBase = 16;
 
 std::array<char, maximumNameBytes> processName{};
 std::array<char, maximumReasonBytes> exceptionText{};
+alignas(std::max_align_t) std::array<char, handlerStackBytes> handlerStack{};
+int endingSignal = 0;
 
 /// A line of text in a fixed buffer. A signal handler must not allocate memory.
 class crash_line
@@ -52,10 +58,14 @@
         append({digits.data() + begin, digits.size() - begin});
     }
 
-    void write()
+    /// Writes what was appended, unless that could block: a reader that has stalled must not keep the process alive.
+    void flush()
     {
-        append("\n");
-        std::ignore = ::write(STDOUT_FILENO, m_buffer.data(), m_size);
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0) {
+            std::ignore = ::write(STDOUT_FILENO, m_buffer.data(), m_size);
+        }
+        m_size = 0;
     }
 
 private:
@@ -91,6 +101,21 @@
     }
 }
 
+[[noreturn]] void endBy(int signal)
+{
+    std::signal(signal, SIG_DFL);
+    std::raise(signal);
+    ::_exit(EXIT_FAILURE);
+}
+
+void handleFaultInHandler(int /*signal*/)
+{
+    crash_line line;
+    line.append("\n");
+    line.flush();
+    endBy(endingSignal);
+}
+
 void writeCrash(int signal, siginfo_t *information, void * /*context*/)
 {
     crash_line line;
@@ -107,10 +132,15 @@
         line.append(exceptionText.data());
         line.append("\"");
     }
+    line.flush();
+    // A damaged stack can't be walked. The process then ends by the signal that came first.
+    endingSignal = signal;
+    std::signal(SIGSEGV, &handleFaultInHandler);
+    std::signal(SIGBUS, &handleFaultInHandler);
     appendStack(line);
-    line.write();
-    // The default action was restored when the handler was called; the signal ends the process now.
-    std::raise(signal);
+    line.append("\n");
+    line.flush();
+    endBy(signal);
 }
 
 void keepText(std::string_view text)
@@ -148,10 +178,13 @@
     std::array<void *, 1> frames{};
     ::backtrace(frames.data(), 1);
 
-    struct sigaction action {
-    };
+    stack_t stack{};
+    stack.ss_sp = handlerStack.data();
+    stack.ss_size = handlerStack.size();
+    ::sigaltstack(&stack, nullptr);
+    struct sigaction action = {};
     action.sa_sigaction = &writeCrash;
-    action.sa_flags = SA_SIGINFO | static_cast<int>(SA_RESETHAND) | SA_NODEFER;
+    action.sa_flags = SA_SIGINFO | SA_ONSTACK | SA_NODEFER;
     for (const int signal : fatalSignals) {
         ::sigaction(signal, &action, nullptr);
     }
