Bound the bodies that a process keeps by the memory of its VM

Callers saw LOST: requests on kept connections got no answer, because their process exceeded its memory and was killed. Plain answers that are ready are delivered in any case, and no longer copied by libmicrohttpd.

--- a/src/libs/net/connection_exchange.cpp
+++ b/src/libs/net/connection_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/connection_exchange.h"
 
+#include "net/byte_budget.h"
+
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -11,13 +13,21 @@
 namespace {
 
 constexpr std::size_t streamBlockBytes = 16384;
+// A client that has left more of a stream unread is too slow for it, or its runner sends without end.
+constexpr std::size_t maximumUnsentStreamBytes = 1UL << 20;
 
 } // namespace
 
-connection_exchange::connection_exchange(MHD_Connection *connection, bool &needsRun)
+connection_exchange::connection_exchange(MHD_Connection *connection, bool &needsRun, byte_budget *keptBytes)
     : m_connection(connection)
     , m_needsRun(needsRun)
+    , m_keptBytes(keptBytes)
+{
+}
+
+connection_exchange::~connection_exchange()
 {
+    releaseKeptBytes(m_countedBytes);
 }
 
 const http_request &connection_exchange::request() const
@@ -35,6 +45,11 @@
     m_pending = std::move(body);
     m_isFinished = true;
     phase = answer_phase::complete;
+    // An answer that is ready is delivered also beyond the limit.
+    if (m_keptBytes != nullptr) {
+        m_keptBytes->take(m_pending.size());
+        m_countedBytes += m_pending.size();
+    }
     resume();
 }
 
@@ -49,13 +64,22 @@
     resume();
 }
 
-void connection_exchange::send(std::string_view data)
+bool connection_exchange::send(std::string_view data)
 {
-    if (phase == answer_phase::closed || m_isFinished) {
-        return;
+    if (phase == answer_phase::closed || m_isFinished || isAborted) {
+        return true;
     }
+    const bool isTooSlow = m_pending.size() + data.size() > maximumUnsentStreamBytes;
+    if (isTooSlow || (m_keptBytes != nullptr && !m_keptBytes->tryTake(data.size()))) {
+        releaseKeptBytes(m_pending.size());
+        m_pending = {};
+        abort();
+        return false;
+    }
+    m_countedBytes += m_keptBytes != nullptr ? data.size() : 0;
     m_pending += data;
     resume();
+    return true;
 }
 
 void connection_exchange::finish()
@@ -76,6 +100,35 @@
     resume();
 }
 
+void connection_exchange::appendBody(std::string_view data)
+{
+    if (content.isShed) {
+        return;
+    }
+    if (m_keptBytes != nullptr && !m_keptBytes->tryTake(data.size())) {
+        discardBody();
+        content.isShed = true;
+        return;
+    }
+    m_countedBytes += m_keptBytes != nullptr ? data.size() : 0;
+    content.body.append(data);
+}
+
+void connection_exchange::discardBody()
+{
+    releaseKeptBytes(content.body.size());
+    content.body = {};
+}
+
+void connection_exchange::releaseKeptBytes(std::size_t bytes)
+{
+    const std::size_t released = std::min(bytes, m_countedBytes);
+    m_countedBytes -= released;
+    if (m_keptBytes != nullptr) {
+        m_keptBytes->release(released);
+    }
+}
+
 int connection_exchange::socket() const
 {
     return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
@@ -101,7 +154,8 @@
 {
     MHD_Response *response = nullptr;
     if (phase == answer_phase::complete) {
-        response = MHD_create_response_from_buffer(m_pending.size(), m_pending.data(), MHD_RESPMEM_MUST_COPY);
+        // The exchange exists until libmicrohttpd has ended the request.
+        response = MHD_create_response_from_buffer(m_pending.size(), m_pending.data(), MHD_RESPMEM_PERSISTENT);
     } else {
         response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, &readStream, this, nullptr);
     }
@@ -118,6 +172,7 @@
 {
     phase = answer_phase::closed;
     m_isSuspended = false;
+    releaseKeptBytes(m_countedBytes);
     if (watcher) {
         watcher->stop();
     }
@@ -139,6 +194,7 @@
         const std::size_t count = std::min(size, exchange.m_pending.size());
         std::copy_n(exchange.m_pending.data(), count, buffer);
         exchange.m_pending.erase(0, count);
+        exchange.releaseKeptBytes(count);
         return static_cast<ssize_t>(count);
     }
     if (exchange.isAborted) {
--- a/src/libs/net/connection_exchange.h
+++ b/src/libs/net/connection_exchange.h
@@ -28,15 +28,22 @@
 {
 public:
     /// @p needsRun is set when libmicrohttpd has to run again.
-    connection_exchange(MHD_Connection *connection, bool &needsRun);
+    /// @p keptBytes counts the bodies of request and answer; may be null.
+    connection_exchange(MHD_Connection *connection, bool &needsRun, byte_budget *keptBytes);
+    ~connection_exchange() override;
+    connection_exchange(const connection_exchange &) = delete;
+    connection_exchange &operator=(const connection_exchange &) = delete;
 
     const http_request &request() const override;
     void respond(std::uint32_t status, header_list headers, std::string body) override;
     void begin(std::uint32_t status, header_list headers) override;
-    void send(std::string_view data) override;
+    bool send(std::string_view data) override;
     void finish() override;
     void abort() override;
 
+    /// Adds to the body of the request. Beyond the limit of kept bytes, the body is discarded and marked as shed.
+    void appendBody(std::string_view data);
+    void discardBody();
     int socket() const;
     void suspend();
     void resume();
@@ -56,10 +63,14 @@
 
 private:
     void resetConnection();
+    void releaseKeptBytes(std::size_t bytes);
     static ssize_t readStream(void *self, std::uint64_t position, char *buffer, std::size_t size);
 
     MHD_Connection *m_connection;
     bool &m_needsRun;
+    byte_budget *m_keptBytes;
+    /// What this exchange has counted in m_keptBytes.
+    std::size_t m_countedBytes = 0;
     std::uint32_t m_status = 200;
     header_list m_headers;
     std::string m_pending;
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -127,9 +127,9 @@
         if (*dataSize > 0) {
             if (exchange.content.body.size() + *dataSize > limits.bodyBytes) {
                 exchange.content.isOversized = true;
-                exchange.content.body.clear();
+                exchange.discardBody();
             } else if (!exchange.content.isOversized) {
-                exchange.content.body.append(data, *dataSize);
+                exchange.appendBody({data, *dataSize});
             }
             *dataSize = 0;
             return MHD_YES;
@@ -151,8 +151,8 @@
 
     void *beginRequest(MHD_Connection *connection, const char *target)
     {
-        auto *sharedExchange =
-            new std::shared_ptr<connection_exchange>(std::make_shared<connection_exchange>(connection, needsRun));
+        auto *sharedExchange = new std::shared_ptr<connection_exchange>(
+            std::make_shared<connection_exchange>(connection, needsRun, limits.keptBytes));
         (*sharedExchange)->content.target = target;
         openExchanges.insert(sharedExchange->get());
         return sharedExchange;
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -14,6 +14,7 @@
 
 namespace crocuslane {
 
+class byte_budget;
 class event_loop;
 
 struct http_request {
@@ -25,6 +26,8 @@
     std::string body;
     /// The body exceeded the limit and was discarded.
     bool isOversized = false;
+    /// The body was discarded, because the bodies that the process keeps exceeded their limit together.
+    bool isShed = false;
     /// Path and query as the client wrote them.
     std::string target = {};
     /// All fields in their order, as the client wrote them.
@@ -41,7 +44,8 @@
     virtual void respond(std::uint32_t status, header_list headers, std::string body) = 0;
     /// Starts an answer of unknown length; send() and finish() follow.
     virtual void begin(std::uint32_t status, header_list headers) = 0;
-    virtual void send(std::string_view data) = 0;
+    /// False when the client has left too many bytes unread. The connection is then closed as by abort().
+    virtual bool send(std::string_view data) = 0;
     virtual void finish() = 0;
     /// Closes the connection in the middle of the answer, so that the client does not take it as complete.
     virtual void abort() = 0;
@@ -54,6 +58,9 @@
     std::chrono::seconds idleTimeout{0};
     /// Memory for the header of a request; a longer header is refused.
     std::size_t headerBytes = 32768;
+    /// Bounds the bodies of requests and answers that are kept at one time, together with what else counts in it; null
+    /// for no bound.
+    byte_budget *keptBytes = nullptr;
 };
 
 /// Paths of PEM files. Unless both are set, the server uses plain HTTP.
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -47,6 +47,12 @@
     raw_caller(const raw_caller &) = delete;
     raw_caller &operator=(const raw_caller &) = delete;
 
+    /// Sends bytes and reads nothing.
+    void sendOnly(const std::string &bytes)
+    {
+        send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
     /// Sends a request and reads its answer to the end, or to the end of the connection.
     raw_answer call(const std::string &request)
     {
