Close the connections of cancelled transfers and of malformed heads

A transfer that was cancelled in the callback of its head or body left its connection open when the answer had arrived whole: libcurl read it to its end first. An answer that isn't its request's own is ended this way, so the next request got the connection. discard() keeps the former behaviour for answers that are merely of no interest.

A head that breaks off and runs into the next one got the fields of that one, with the first one's status: lines without a colon were skipped, and a second status line restarted the fields only. Such heads end the transfer as lost.

Both tests fail without the change: the connection was used again, and a status of 503 came with the second head's fields.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -8,6 +8,8 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
+#include <cctype>
 #include <map>
 #include <optional>
 #include <utility>
@@ -24,9 +26,41 @@
 // libcurl ends a transfer with an error when a callback returns fewer bytes than it was given.
 constexpr std::size_t abortTransfer = 0;
 constexpr std::string_view statusLinePrefix = "HTTP/";
+// Between the characters of a field name that are neither letters nor digits (RFC 9110, section 5.6.2).
+constexpr std::string_view nameCharacters = "!#$%&'*+-.^_`|~";
 // Lower statuses (1xx) are those of interim answers.
 constexpr std::uint32_t firstFinalStatus = 200;
 
+bool isDigit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+bool isFieldName(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char character) {
+        return std::isalnum(character) != 0 || nameCharacters.find(static_cast<char>(character)) != std::string::npos;
+    });
+}
+
+/// Whether @p text contains the beginning of a status line, "HTTP/1.1 200", at or after @p from.
+bool containsStatusLine(std::string_view text, std::size_t from)
+{
+    constexpr std::string_view pattern = "0.0 000";
+    for (std::size_t at = text.find(statusLinePrefix, from); at != std::string_view::npos;
+         at = text.find(statusLinePrefix, at + 1)) {
+        const std::string_view rest = text.substr(at + statusLinePrefix.size(), pattern.size());
+        const bool matches = rest.size() == pattern.size()
+            && std::equal(rest.begin(), rest.end(), pattern.begin(), [](char found, char expected) {
+                                 return expected == '0' ? isDigit(found) : found == expected;
+                             });
+        if (matches) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 struct http_client::private_data {
@@ -37,13 +71,17 @@
         curl_slist *headers = nullptr;
         bool hasStatus = false;
         http_response_head head;
+        /// A status line was read, and the blank line that ends its head was not.
+        bool isInsideHead = false;
         bool isHeadComplete = false;
         std::size_t headBytes = 0;
         std::size_t bodyBytes = 0;
         /// Whether libcurl has started to write the request to a connection.
         bool hasStartedSending = false;
-        /// Cancelled from inside a callback of libcurl, and released after the callback has returned.
+        /// Ended from inside a callback of libcurl, and released after the callback has returned.
         bool isCancelled = false;
+        /// libcurl may read the rest of the answer that has arrived, and so keep the connection.
+        bool isDiscarded = false;
         steady_time lastProgress;
         std::optional<timer_number> silenceTimer;
         private_data *owner = nullptr;
@@ -191,7 +229,7 @@
         curl_slist_free_all(ended.headers);
     }
 
-    void cancel(transfer_number number)
+    void cancel(transfer_number number, bool isDiscarded = false)
     {
         std::unique_ptr<transfer> cancelled = extract(number);
         if (!cancelled) {
@@ -199,6 +237,7 @@
         }
         if (isInCallback) {
             cancelled->isCancelled = true;
+            cancelled->isDiscarded = isDiscarded;
             cancelledInCallback.push_back(std::move(cancelled));
             return;
         }
@@ -284,7 +323,7 @@
         auto &current = *static_cast<transfer *>(pointer);
         const std::size_t bytes = size * count;
         if (current.isCancelled) {
-            return bytes;
+            return bytesTakenAfterCancel(current, bytes);
         }
         current.headBytes += bytes;
         if (current.headBytes > current.request.maximumHeadBytes) {
@@ -293,28 +332,37 @@
         if (current.isHeadComplete) {
             return bytes;
         }
-        current.owner->readHeaderLine(current, {data, bytes});
-        return bytes;
+        if (!current.owner->readHeaderLine(current, {data, bytes})) {
+            return abortTransfer;
+        }
+        return current.isCancelled ? bytesTakenAfterCancel(current, bytes) : bytes;
+    }
+
+    // An answer that libcurl reads to its end after the cancellation would leave the connection open for the next
+    // request.
+    static std::size_t bytesTakenAfterCancel(const transfer &cancelled, std::size_t bytes)
+    {
+        return cancelled.isDiscarded ? bytes : abortTransfer;
     }
 
-    void readHeaderLine(transfer &current, std::string_view line)
+    /// Returns false when the head is malformed. A head that breaks off and runs into the head of the next answer would
+    /// otherwise get the fields of that answer.
+    bool readHeaderLine(transfer &current, std::string_view line)
     {
         while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
             line.remove_suffix(1);
         }
-        if (line.starts_with(statusLinePrefix)) {
-            long status = 0;
-            curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
-            current.head = {static_cast<std::uint32_t>(status), {}};
-            return;
+        if (!current.isInsideHead) {
+            return beginHead(current, line);
         }
         if (line.empty()) {
+            current.isInsideHead = false;
             completeHead(current);
-            return;
+            return true;
         }
         const std::size_t colon = line.find(':');
-        if (colon == std::string_view::npos) {
-            return;
+        if (colon == std::string_view::npos || !isFieldName(line.substr(0, colon)) || containsStatusLine(line, colon)) {
+            return false;
         }
         std::string_view value = line.substr(colon + 1);
         while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
@@ -324,6 +372,19 @@
             value.remove_suffix(1);
         }
         current.head.fields.push_back({std::string(line.substr(0, colon)), std::string(value)});
+        return true;
+    }
+
+    bool beginHead(transfer &current, std::string_view line)
+    {
+        if (!line.starts_with(statusLinePrefix) || containsStatusLine(line, 1)) {
+            return false;
+        }
+        long status = 0;
+        curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
+        current.head = {static_cast<std::uint32_t>(status), {}};
+        current.isInsideHead = true;
+        return true;
     }
 
     void completeHead(transfer &current)
@@ -346,7 +407,7 @@
         auto &current = *static_cast<transfer *>(pointer);
         const std::size_t bytes = size * count;
         if (current.isCancelled) {
-            return bytes;
+            return bytesTakenAfterCancel(current, bytes);
         }
         current.bodyBytes += bytes;
         const std::size_t limit = current.request.maximumBodyBytes;
@@ -368,7 +429,7 @@
             current.request.onData({data, bytes});
         }
         owner.isInCallback = false;
-        return bytes;
+        return current.isCancelled ? bytesTakenAfterCancel(current, bytes) : bytes;
     }
 
     event_loop &loop;
@@ -458,4 +519,9 @@
     d->cancel(transfer);
 }
 
+void http_client::discard(transfer_number transfer)
+{
+    d->cancel(transfer, true);
+}
+
 } // namespace crocuslane
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -54,7 +54,8 @@
     /// The transfer ends as lost when nothing arrives for this long; zero for no limit.
     duration silenceLimit{};
     /// The transfer ends as lost, and its connection is closed, when the header lines of the answer, those of interim
-    /// answers and of a trailer included, take more bytes.
+    /// answers and of a trailer included, take more bytes. The same holds for a head that is malformed, or that another
+    /// status line is a part of.
     std::size_t maximumHeadBytes = 64UL * 1024UL;
     /// The same for the body; zero for no limit.
     std::size_t maximumBodyBytes = 0;
@@ -80,6 +81,9 @@
     transfer_number start(http_client_request request);
     /// Ends a transfer and closes its connection; none of its callbacks follows.
     void cancel(transfer_number transfer);
+    /// Ends a transfer whose answer is of no further interest; none of its callbacks follows. Its connection is kept
+    /// when the answer is complete, and closed otherwise.
+    void discard(transfer_number transfer);
 
 private:
     struct private_data;
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -406,6 +406,92 @@
     CHECK(m_body == "next");
 }
 
+// Guards against the reuse of a connection after a cancelled transfer: libcurl keeps it when the answer has arrived
+// whole. A discarded transfer may leave it open.
+TEST_CASE("http client, transfer ended at the head of its answer, keeps the connection only if discarded", "[net]")
+{
+    const bool isDiscarded = GENERATE(false, true);
+    const std::string answer =
+        GENERATE(as<std::string>(), "Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbody");
+    scripted_server server(
+        [&answer](const std::string & /*request*/) { return scripted_answer{{"HTTP/1.1 200 OK\r\n" + answer}}; });
+    event_loop loop;
+    http_client client(loop);
+    http_client_request request;
+    request.address = server.address();
+    request.target = "/";
+    http_client_request ended = request;
+    transfer_number number = 0;
+    ended.onHead = [&](const http_response_head & /*head*/) {
+        if (isDiscarded) {
+            client.discard(number);
+        } else {
+            client.cancel(number);
+        }
+        loop.schedule(std::chrono::milliseconds(50), [&] { client.start(request); });
+    };
+    request.onEnd = [&loop](transfer_result /*result*/, std::uint32_t /*status*/) { loop.stop(); };
+    number = client.start(ended);
+    loop.run();
+    CHECK(server.connectionsOfRequests() == std::vector<std::size_t>{0, isDiscarded ? 0UL : 1UL});
+}
+
+// Guards against a head that breaks off and gets the fields of the head behind it.
+TEST_CASE("http client, head is malformed or runs into another one, ends as lost", "[net]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::string earlier = GENERATE(as<std::string>(),
+                                         "HTTP/1.1 503 Service Unavailable\r\n",
+                                         "HTTP/1.1 503 Service Unavailable\r\nX-Field: 1",
+                                         "HTTP/1.1 503 Service Unavailable\r\nX-Fie",
+                                         "HTTP/1.1 503 Service",
+                                         "HTTP/1.1 503 Service Unavailable\r\nno field\r\n",
+                                         "HTTP/1.1 503 Service Unavailable\r\n: no name\r\n");
+    INFO(earlier);
+    scripted_server server([&](const std::string & /*request*/) { return scripted_answer{{earlier + ok}}; });
+    event_loop loop;
+    http_client client(loop);
+    http_client_request request;
+    request.address = server.address();
+    request.target = "/";
+    transfer_result result = transfer_result::complete;
+    bool hasHead = false;
+    request.onHead = [&hasHead](const http_response_head & /*head*/) { hasHead = true; };
+    request.onEnd = [&](transfer_result ended, std::uint32_t /*status*/) {
+        result = ended;
+        loop.stop();
+    };
+    client.start(request);
+    loop.run();
+    CHECK(result == transfer_result::lost);
+    CHECK_FALSE(hasHead);
+}
+
+// Guards against sound heads that are refused as malformed.
+TEST_CASE("http client, head with interim answer and unusual fields, is read", "[net]")
+{
+    scripted_server server([](const std::string & /*request*/) {
+        return scripted_answer{{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+                                "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nEmpty:\r\nx_y.z~1: a:b\r\n"
+                                "Content-Length: 0\r\n\r\n"}};
+    });
+    event_loop loop;
+    http_client client(loop);
+    http_client_request request;
+    request.address = server.address();
+    request.target = "/";
+    http_response_head received;
+    request.onHead = [&received](const http_response_head &head) { received = head; };
+    request.onEnd = [&loop](transfer_result /*result*/, std::uint32_t /*status*/) { loop.stop(); };
+    client.start(request);
+    loop.run();
+    CHECK(received.status == 200);
+    REQUIRE(received.find("x_y.z~1") != nullptr);
+    CHECK(*received.find("x_y.z~1") == "a:b");
+    CHECK(*received.find("via") == "HTTP/1.1 proxy");
+    CHECK(received.find("link") == nullptr);
+}
+
 // Guards against a socket watcher that is destroyed while the reactor still dispatches its event, when a connection
 // ends with its transfer. The sanitizers report it in the first transfer.
 TEST_CASE_METHOD(http_fixture, "http client, connections that end with their transfer, are released later", "[net]")
