Believe "not run" only from answers that name the attempt

A refusal (503, 429, 421) without an attempt id counted as the answer to the request that waits. A faulty runner that writes an earlier refusal once more made callers read "not run" for requests that ran, or a second runner run them.

A request that goes to the same runner again uses a new connection: a copy of the runner's first refusal names the same attempt. Closing all connections with refusals instead would cost a new connection for each refusal, not for each repetition.

attempt_refused states in names_attempt whether the answer named this attempt, another one or none.

--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -134,6 +134,9 @@
     /// Number of the last event that the caller has; the runner continues after it.
     std::optional<std::uint64_t> resumeAfter;
     bool isStream = false;
+    /// The runner has received the request before. A connection that carried it then may deliver an answer to it once
+    /// more.
+    bool usesNewConnection = false;
 };
 
 /// Sends a runner's complete answer to the caller.
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+constexpr auto answerIdentityNames = makeNameTable<answer_identity>({
+    {answer_identity::none, "none"},
+    {answer_identity::own, "own"},
+    {answer_identity::other, "other"},
+});
+
 constexpr auto routeKindNames = makeNameTable<route_kind>({
     {route_kind::idempotent, "idempotent"},
     {route_kind::non_idempotent, "non_idempotent"},
@@ -62,4 +68,9 @@
     return refusalReasonNames.name(reason);
 }
 
+std::string_view toName(answer_identity identity)
+{
+    return answerIdentityNames.name(identity);
+}
+
 } // namespace crocuslane
--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -129,12 +129,24 @@
     double slowdownFactor = 1.0;
 };
 
+/// The attempt that an answer names.
+enum class answer_identity {
+    /// No attempt.
+    none,
+    own,
+    /// Another attempt, or several.
+    other,
+};
+
+std::string_view toName(answer_identity identity);
+
 /// What the decision code needs of the head of a runner's answer.
 struct forward_answer_head {
     std::uint32_t status = 0;
-    /// The runner reports that it did not run the request.
+    answer_identity identity = answer_identity::none;
+    /// The runner reports that it did not run the request. Set only for an answer that names this attempt.
     bool isNotRun = false;
-    /// The answer comes from another runner, which now has the address.
+    /// The answer comes from another runner, which now has the address. Set only for an answer that names this attempt.
     bool isMisdirected = false;
     /// The answer was made by a runner, and for this attempt.
     bool isGenuine = false;
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -321,6 +321,7 @@
     }
     action.resumeAfter = active.lastEvent;
     action.isStream = isStream(active.route().kind);
+    action.usesNewConnection = !active.runnersSentTo.insert(choice.runner).second;
     actions.push_back(log_decision{"attempt_started",
                                    active.request.request,
                                    {{"attempt", std::to_string(active.attempts)},
@@ -396,7 +397,8 @@
                                    active.request.request,
                                    {{"runner", active.current->runner.value()},
                                     {"status", std::to_string(head.status)},
-                                    {"meaning", std::string(meaning)}}});
+                                    {"meaning", std::string(meaning)},
+                                    {"names_attempt", std::string(toName(head.identity))}}});
 }
 
 void forward_flow::receiveEvent(const forward_event_received &received, action_list &actions)
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -82,7 +82,9 @@
         /// When the request was last queued for lack of a runner with free capacity.
         steady_time queuedAt;
         std::optional<attempt> current;
+        /// Runners that are not tried again before the others.
         std::set<runner_id> triedRunners;
+        std::set<runner_id> runnersSentTo;
         unsigned attempts = 0;
         /// Attempts that may have run: neither did the runner state that it did not run the request, nor did the
         /// connection fail before the request was sent.
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -322,6 +322,22 @@
     CHECK(one<refuse_forward>(ended).retryAfter > duration::zero());
 }
 
+// Guards against an earlier refusal of the same attempt, written once more on its connection, that is taken for the
+// answer to a later run at the same runner: it names the attempt.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "order, refused and sent to the same runner again, uses a new connection",
+                 "[forwarding]")
+{
+    m_backends.runners = {"a", "b"};
+    const auto first = one<start_forward>(send("/order/"));
+    const auto second = one<start_forward>(refuseAsNotRun(first.attempt));
+    const auto third = one<start_forward>(refuseAsNotRun(second.attempt));
+    CHECK_FALSE(first.usesNewConnection);
+    CHECK_FALSE(second.usesNewConnection);
+    CHECK(third.runner == first.runner);
+    CHECK(third.usesNewConnection);
+}
+
 // Guards against sending the answer of another request to the caller.
 TEST_CASE_METHOD(forward_flow_fixture,
                  "answer, of another attempt, is dropped and the attempt cancelled",
