Continue streams by event streams only

When a stream had begun and broke off, every success of the next runner counted as its continuation: a 204, a plain text and a JSON error ended it as complete or were passed on inside it, as was an event without a number. The head and the text of an error that a runner wrote into its own stream were passed on as a block without data or as a part of an event. Events without numbers were sent again by the next runner. A plain answer on a route of streams was lost.

A continuation begins with a numbered event; after an event without a number there is none.

--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -150,6 +150,8 @@
     bool isMisdirected = false;
     /// The answer was made by a runner, and for this attempt.
     bool isGenuine = false;
+    /// The answer is a success whose body is a series of events.
+    bool isEventStream = false;
     /// The runner closes the connection after this answer; it may be about to stop.
     bool isClosing = false;
     /// The model's confidence in its answer, 0 to 100.
--- a/src/libs/kernel/types.cpp
+++ b/src/libs/kernel/types.cpp
@@ -50,6 +50,7 @@
     {attempt_failure::failed, "failed"},
     {attempt_failure::cancelled, "cancelled"},
     {attempt_failure::oversized, "oversized"},
+    {attempt_failure::malformed, "malformed"},
 });
 
 constexpr auto backendStateNames = makeNameTable<backend_state>({
--- a/src/libs/kernel/types.h
+++ b/src/libs/kernel/types.h
@@ -116,6 +116,8 @@
     cancelled,
     /// The answer or one of its events was longer than the limit.
     oversized,
+    /// The body was not of the form that the head of the answer states.
+    malformed,
 };
 
 enum class backend_state {
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -293,6 +293,7 @@
     started.runner = choice.runner;
     started.version = choice.version;
     started.started = now();
+    started.isContinuation = active.hasEvent;
     started.lastActivity = now() + expectedDelaysBeforeSilence * choice.expectedDelay;
     active.current = started;
     if (m_environment.rollouts != nullptr) {
@@ -361,7 +362,10 @@
     if (received.head.load) {
         m_environment.backends->noteLoad(active.current->runner, *received.head.load);
     }
-    if (received.head.isNotRun || received.head.isMisdirected || !received.head.isGenuine) {
+    const bool isSuccessOfOtherForm =
+        active.hasStreamBegun && isSuccess(received.head.status) && !received.head.isEventStream;
+    const bool isUsable = received.head.isGenuine && !isSuccessOfOtherForm;
+    if (received.head.isNotRun || received.head.isMisdirected || !isUsable) {
         logRefusedHead(active, received.head, actions);
     }
     if (received.head.isNotRun || received.head.isMisdirected) {
@@ -370,9 +374,8 @@
         retry(active, actions);
         return;
     }
-    if (!received.head.isGenuine) {
-        cancelAttempt(active, attempt_end::lost, actions);
-        retry(active, actions);
+    if (!isUsable) {
+        replaceAttempt(active, actions);
         return;
     }
     if (isSuccess(received.head.status)) {
@@ -383,6 +386,12 @@
     }
 }
 
+void forward_flow::replaceAttempt(active_request &active, action_list &actions)
+{
+    cancelAttempt(active, attempt_end::lost, actions);
+    retry(active, actions);
+}
+
 void forward_flow::logRefusedHead(const active_request &active,
                                   const forward_answer_head &head,
                                   action_list &actions) const
@@ -392,6 +401,8 @@
         meaning = "other_runner_at_address";
     } else if (head.isNotRun) {
         meaning = "not_run";
+    } else if (head.isGenuine) {
+        meaning = "no_event_stream";
     }
     actions.push_back(log_decision{"attempt_refused",
                                    active.request.request,
@@ -418,6 +429,16 @@
         actions.push_back(send_stream_event{active.request.request, received.text});
         return;
     }
+    const bool isNumberExpected = received.number && active.lastEvent;
+    if (isNumberExpected && *received.number != *active.lastEvent + 1) {
+        replaceAttempt(active, actions);
+        return;
+    }
+    // Without a number, nothing shows that the event follows the last one: it may be the text of an error.
+    if (!received.number && active.current->isContinuation && !active.current->hasEvent) {
+        replaceAttempt(active, actions);
+        return;
+    }
     if (active.hasStreamBegun) {
         active.longestPause = std::max(active.longestPause, now() - active.current->lastActivity);
     }
@@ -429,14 +450,9 @@
         observe(active, *active.current, attempt_result::answered);
         active.current->hasEvent = true;
     }
-    if (received.number && active.lastEvent) {
-        if (*received.number != *active.lastEvent + 1) {
-            cancelAttempt(active, attempt_end::lost, actions);
-            retry(active, actions);
-            return;
-        }
-    }
     beginStream(active, actions);
+    active.hasEvent = true;
+    active.hasUnnumberedEvent = active.hasUnnumberedEvent || !received.number;
     if (received.number) {
         active.lastEvent = received.number;
     }
@@ -462,6 +478,7 @@
     }
     active_request &active = *found;
     const std::uint32_t status = active.current->head.status;
+    const bool isEventStream = isStream(active.route().kind) && active.current->head.isEventStream;
     const bool hasFailed = status >= firstServerError;
     if (hasFailed || !active.current->hasEvent) {
         observe(active, *active.current, hasFailed ? attempt_result::failed : attempt_result::answered);
@@ -475,7 +492,7 @@
         retry(active, actions);
         return;
     }
-    if (isStream(active.route().kind) && isSuccess(status)) {
+    if (isEventStream) {
         if (!active.hasStreamBegun) {
             actions.push_back(begin_stream{active.request.request, completed.answer});
         }
@@ -525,7 +542,8 @@
 
 bool forward_flow::mayRetry(const active_request &active) const
 {
-    const bool isAllowed = isRepeatable(active.route().kind) || active.attemptsThatMayHaveRun == 0;
+    const bool isAllowed =
+        !active.hasUnnumberedEvent && (isRepeatable(active.route().kind) || active.attemptsThatMayHaveRun == 0);
     const bool mayRepeat = m_environment.suspects == nullptr
         || m_environment.suspects->mayRepeat(active.request.prompt, active.lostRunners);
     return isAllowed && mayRepeat && active.attempts < active.route().maximumAttempts
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -64,6 +64,8 @@
         /// runner several times its expected delay.
         steady_time lastActivity;
         bool hasEvent = false;
+        /// The caller had events of another attempt when this one started.
+        bool isContinuation = false;
         runner_answer_pointer answer;
         forward_answer_head head;
     };
@@ -95,6 +97,9 @@
         bool isProbe = false;
         /// The caller has received the head of a streamed answer.
         bool hasStreamBegun = false;
+        bool hasEvent = false;
+        /// The caller has received an event without a number, so that no runner can continue the stream.
+        bool hasUnnumberedEvent = false;
         steady_time firstEventAt;
         /// Longest time between two events.
         duration longestPause{};
@@ -140,6 +145,8 @@
     bool mayRetry(const active_request &active) const;
     void endAttempt(active_request &active, attempt_end end);
     void cancelAttempt(active_request &active, attempt_end end, action_list &actions);
+    /// Cancels an attempt whose answer can't be used, and starts another one if the request allows it.
+    void replaceAttempt(active_request &active, action_list &actions);
     void logRefusedHead(const active_request &active, const forward_answer_head &head, action_list &actions) const;
     void observe(const active_request &active, const attempt &attempt, attempt_result result);
     void
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -173,6 +173,7 @@
         forward_answer_head content;
         content.status = 200;
         content.isGenuine = true;
+        content.isEventStream = true;
         content.confidence = confidence;
         return head(attempt, content);
     }
@@ -199,6 +200,22 @@
         return actions;
     }
 
+    action_list unnumberedEvent(attempt_number attempt)
+    {
+        action_list actions;
+        m_flow->receiveEvent({attempt, std::nullopt, true, "data"}, actions);
+        return actions;
+    }
+
+    /// A stream whose first runner is lost after event 1; returns the attempt that continues it.
+    attempt_number continuedStream()
+    {
+        const auto first = one<start_forward>(send("/stream/"));
+        success(first.attempt);
+        event(first.attempt, 1);
+        return one<start_forward>(fail(first.attempt, attempt_failure::connection_lost)).attempt;
+    }
+
     action_list fail(attempt_number attempt, attempt_failure failure)
     {
         action_list actions;
@@ -393,6 +410,81 @@
     one<abort_stream>(ended);
 }
 
+// Guards against the text of an error in the middle of a stream, and against its end as if it were complete: neither an
+// error nor a success of another form continues a stream.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "stream, broken off and next runner answers with no event stream, is never delivered",
+                 "[forwarding]")
+{
+    const std::uint32_t status = GENERATE(200U, 204U, 404U, 500U);
+    const bool isGenuine = GENERATE(true, false);
+    INFO(status << isGenuine);
+    const attempt_number second = continuedStream();
+    forward_answer_head error;
+    error.status = status;
+    error.isGenuine = isGenuine;
+    action_list actions = head(second, error);
+    const action_list completed = complete(second);
+    actions.insert(actions.end(), completed.begin(), completed.end());
+    // A runner's own 404 is its answer to the request; all others are tried again.
+    const bool isTriedAgain = status != 404 || !isGenuine;
+    if (isTriedAgain) {
+        const action_list ended = fail(one<start_forward>(actions).attempt, attempt_failure::connection_lost);
+        actions.insert(actions.end(), ended.begin(), ended.end());
+    }
+    one<abort_stream>(actions);
+    CHECK(all<finish_stream>(actions).empty());
+    CHECK(all<deliver_answer>(actions).empty());
+    CHECK(all<refuse_forward>(actions).empty());
+    CHECK(all<send_stream_event>(actions).empty());
+    CHECK(m_flow->size() == 0);
+}
+
+// Guards against the text of an error that comes as an event of a stream: without a number it has no place in it.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "stream, continued and first event has no number, is requested again",
+                 "[forwarding]")
+{
+    const attempt_number second = continuedStream();
+    success(second);
+    const action_list actions = unnumberedEvent(second);
+    CHECK(all<send_stream_event>(actions).empty());
+    CHECK(one<cancel_attempt>(actions).attempt == second);
+    CHECK(one<start_forward>(actions).resumeAfter == 1);
+}
+
+// Guards against events that a caller gets twice: without numbers, no runner can continue after the last one.
+TEST_CASE_METHOD(forward_flow_fixture, "stream, event without number and connection lost, is aborted", "[forwarding]")
+{
+    const auto first = one<start_forward>(send("/stream/"));
+    success(first.attempt);
+    one<send_stream_event>(unnumberedEvent(first.attempt));
+    const action_list ended = fail(first.attempt, attempt_failure::connection_lost);
+    CHECK(all<start_forward>(ended).empty());
+    one<abort_stream>(ended);
+}
+
+// Guards against a resumed stream that is refused although its last event had been sent.
+TEST_CASE_METHOD(forward_flow_fixture, "stream, continued and no event is left, is complete", "[forwarding]")
+{
+    const attempt_number second = continuedStream();
+    success(second);
+    one<finish_stream>(complete(second));
+}
+
+// Guards against a success without its body: the answer on a route of streams need not be one.
+TEST_CASE_METHOD(forward_flow_fixture, "stream request, answer is no event stream, is delivered", "[forwarding]")
+{
+    const auto start = one<start_forward>(send("/once/"));
+    forward_answer_head plain;
+    plain.status = 200;
+    plain.isGenuine = true;
+    head(start.attempt, plain);
+    const action_list ended = complete(start.attempt);
+    one<deliver_answer>(ended);
+    CHECK(all<begin_stream>(ended).empty());
+}
+
 // Guards against moving a stream after a short pause, which the runner makes to prefill a long prompt of another
 // request.
 TEST_CASE_METHOD(forward_flow_fixture,
--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -329,6 +329,7 @@
                 forward_answer_head head;
                 head.status = 200;
                 head.isGenuine = true;
+                head.isEventStream = true;
                 handle(copy.vm, forward_head_received{copy.number, head, nullptr});
             }
             handle(copy.vm, forward_event_received{copy.number, copy.events + 1, true, "data"});
