Write log lines with text that is not UTF-8

An attempt id that is not UTF-8 made the status line throw, which ended the process. The logger escapes control characters and bytes that are not UTF-8 and bounds the length of a value: a caller's attempt id may be longer than what a pipe takes without blocking.

--- a/src/libs/base/logger.cpp
+++ b/src/libs/base/logger.cpp
@@ -1,6 +1,7 @@
 #include "base/logger.h"
 
 #include "base/name_table.h"
+#include "base/outside_text.h"
 
 #include <fmt/chrono.h>
 #include <fmt/core.h>
@@ -23,14 +24,18 @@
 // Rate limit per event: further lines within the window are counted instead of written.
 constexpr unsigned linesPerWindow = 50;
 
+// A pipe accepts a line of PIPE_BUF bytes (4096) without blocking.
+constexpr std::size_t maximumValueBytes = 512;
+constexpr std::size_t maximumLineBytes = 4000;
+
 bool needsQuotes(std::string_view value)
 {
-    return value.empty() || value.find_first_of(" =\"\\\n\r\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" =\"\\") != std::string_view::npos || !isPlainText(value);
 }
 
 std::string quoted(std::string_view value)
 {
-    std::string result = "\"";
+    std::string result;
     for (const char character : value) {
         switch (character) {
         case '"':
@@ -48,7 +53,12 @@
             result += character;
         }
     }
-    return result + '"';
+    return '"' + escapedText(result, maximumValueBytes) + '"';
+}
+
+std::string valueText(std::string_view value)
+{
+    return needsQuotes(value) ? quoted(value) : escapedText(value, maximumValueBytes);
 }
 
 } // namespace
@@ -87,11 +97,14 @@
                                    m_process,
                                    event);
     for (const log_field &field : fields) {
-        line += fmt::format(" {}={}", field.key, needsQuotes(field.value) ? quoted(field.value) : field.value);
+        line += fmt::format(" {}={}", field.key, valueText(field.value));
     }
     if (suppressedBefore > 0) {
         line += fmt::format(" suppressed={}", suppressedBefore);
     }
+    if (line.size() > maximumLineBytes) {
+        line.resize(maximumLineBytes);
+    }
     line += '\n';
     writeWithoutBlocking(line);
 }
