Drop a message whose handling throws instead of ending the process

The decision loop catches exceptions of an event or an action, logs and counts them, and answers the caller of a request that threw with 502. With the catch removed, the tests end with the exception.

--- a/src/apps/crocuslaned/entry_node.cpp
+++ b/src/apps/crocuslaned/entry_node.cpp
@@ -97,6 +97,12 @@
         return metrics.text();
     }
 
+    void handleException(std::string_view text) override
+    {
+        metrics.countException();
+        log.write(log_level::error, "exception_caught", {{"detail", std::string(text)}});
+    }
+
     void observe(const event &next) override
     {
         metrics.observe(next);
--- a/src/libs/edge/decision_loop.cpp
+++ b/src/libs/edge/decision_loop.cpp
@@ -1,5 +1,6 @@
 #include "edge/decision_loop.h"
 
+#include "base/guarded_call.h"
 #include "kernel/kernel.h"
 #include "net/event_loop.h"
 
@@ -19,21 +20,38 @@
         while (!pending.empty()) {
             event next = std::move(pending.front());
             pending.pop_front();
-            host.observe(next);
-            const steady_time startTime = time.steadyNow();
-            const action_list actions = decisions.handle(std::move(next));
-            host.observeStep(time.steadyNow() - startTime);
-            carryOut(actions);
+            handle(std::move(next));
         }
         isHandling = false;
         host.handleQueueEmpty();
         scheduleDeadline();
     }
 
+    /// An exception must not leave isHandling set, or no later event would be handled.
+    void handle(event next)
+    {
+        const auto *received = std::get_if<forward_received>(&next);
+        const request_id request = received == nullptr ? request_id() : received->request.request;
+        action_list actions;
+        const bool isHandled = callGuarded(
+            [&] {
+                host.observe(next);
+                const steady_time startTime = time.steadyNow();
+                actions = decisions.handle(std::move(next));
+                host.observeStep(time.steadyNow() - startTime);
+            },
+            [this](const char *text) { host.handleException(text); });
+        if (!isHandled && !request.isEmpty()) {
+            // Plug-ins may have passed the request on before one of them threw.
+            actions = {refuse_forward{request, refusal_reason::attempts_exhausted_may_have_run, {}}};
+        }
+        carryOut(actions);
+    }
+
     void carryOut(const action_list &actions)
     {
         for (const action &action : actions) {
-            host.carryOut(action);
+            callGuarded([&] { host.carryOut(action); }, [this](const char *text) { host.handleException(text); });
         }
     }
 
--- a/src/libs/edge/decision_loop.h
+++ b/src/libs/edge/decision_loop.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace crocuslane {
 
@@ -22,6 +23,8 @@
     /// Called with the time that the kernel took to handle one event.
     virtual void observeStep(duration handlingTime) = 0;
     virtual void carryOut(const action &action) = 0;
+    /// Called with the text of an exception that an event or an action has thrown; the rest of it is dropped.
+    virtual void handleException(std::string_view text) = 0;
     /// Called when all queued events are handled and their actions are carried out.
     virtual void handleQueueEmpty() = 0;
 };
--- a/src/libs/edge/traffic_metrics.cpp
+++ b/src/libs/edge/traffic_metrics.cpp
@@ -118,6 +118,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t attemptFailures = 0;
     std::uint64_t peerBytesSent = 0;
+    std::uint64_t exceptions = 0;
     std::map<std::string, std::uint64_t> outcomes;
     duration_histogram firstToken{"crocuslane_first_token_seconds", "Time from a request to its first token"};
     duration_histogram tokenGap{"crocuslane_token_gap_seconds", "Time between two tokens of an answer"};
@@ -165,6 +166,11 @@
     d->step.add(time);
 }
 
+void traffic_metrics::countException()
+{
+    ++d->exceptions;
+}
+
 void traffic_metrics::setPeerBytesSent(std::uint64_t bytes)
 {
     d->peerBytesSent = bytes;
@@ -181,6 +187,7 @@
     counter("crocuslane_attempts_total", "Attempts at backend servers", d->attempts);
     counter("crocuslane_attempt_failures_total", "Attempts without a complete answer", d->attemptFailures);
     counter("crocuslane_peer_bytes_total", "Bytes sent to other entry VMs", d->peerBytesSent);
+    counter("crocuslane_exceptions_total", "Messages dropped because of an unexpected exception", d->exceptions);
     text += "# HELP crocuslane_outcomes_total Ended requests by outcome\n# TYPE crocuslane_outcomes_total counter\n";
     for (const auto &[outcome, count] : d->outcomes) {
         text += fmt::format("crocuslane_outcomes_total{{outcome=\"{}\"}} {}\n", outcome, count);
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "base/guarded_call.h"
 #include "net/connection_exchange.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
@@ -137,7 +138,7 @@
         if (!exchange.isPassedToHandler) {
             exchange.isPassedToHandler = true;
             watchForClose(*sharedExchange);
-            handler.handleRequest(*sharedExchange);
+            passToHandler(*sharedExchange);
         }
         if (exchange.isAborted) {
             return MHD_NO;
@@ -193,7 +194,16 @@
         delete sharedExchange;
         *requestState = nullptr;
         if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && exchange->isPassedToHandler) {
-            handler.handleAbandoned(*exchange);
+            callGuarded([&] { handler.handleAbandoned(*exchange); }, [](const char * /*text*/) {});
+        }
+    }
+
+    /// An exception must not pass through libmicrohttpd, which is written in C.
+    void passToHandler(const std::shared_ptr<connection_exchange> &exchange)
+    {
+        const bool isHandled = callGuarded([&] { handler.handleRequest(exchange); }, [](const char * /*text*/) {});
+        if (!isHandled && exchange->phase == answer_phase::waiting) {
+            exchange->respond(MHD_HTTP_INTERNAL_SERVER_ERROR, {}, "unexpected error\n");
         }
     }
 
--- a/src/libs/net/tests/http_test.cpp
+++ b/src/libs/net/tests/http_test.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <stdexcept>
 #include <tuple>
 #include <vector>
 
@@ -60,6 +61,9 @@
             exchange->respond(200, {{"x-method", exchange->request().method}}, exchange->request().body);
             return;
         }
+        if (exchange->request().path == "/odd") {
+            throw std::runtime_error("odd request");
+        }
         if (exchange->request().path == "/stream") {
             exchange->begin(200, {});
             sendNext(0);
@@ -155,6 +159,20 @@
 
 } // namespace
 
+// Guards against an exception that passes through a library written in C, which ends the process.
+TEST_CASE_METHOD(http_fixture, "http server, handler throws, answers with 500 and serves the next request", "[net]")
+{
+    http_client_request odd;
+    odd.target = "/odd";
+    runRequest(std::move(odd));
+    CHECK(m_result == transfer_result::complete);
+    CHECK(m_status == 500);
+    http_client_request next;
+    next.target = "/echo";
+    runRequest(std::move(next));
+    CHECK(m_status == 200);
+}
+
 // Guards against a server that sends header lines, interim answers or a body without end, which would fill the memory
 // of the VM: the transfer ends as lost and the connection is closed.
 TEST_CASE_METHOD(http_fixture, "http client, answer without end, closes the connection at its limit", "[net]")
