Name the epoch of the platform's log in its events

Groundwork for a store that comes back from an older copy: positions of different epochs can't be compared, so that lists, orders and records say which epoch theirs belong to. No change of behaviour: nothing sets or reads the fields yet.

--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -177,6 +177,8 @@
     /// Until this time a runner that is missing from the list may still be running, because the store of the list had a
     /// failure shortly before.
     steady_time removalsIgnoredUntil = {};
+    /// Epoch of the platform's log that the list was read in.
+    log_epoch epoch = 0;
 };
 
 struct rollout_ordered {
@@ -187,6 +189,8 @@
 struct rollout_records_read {
     std::vector<rollout_record> records;
     log_offset end = 0;
+    /// Epoch of the platform's log that @c end belongs to.
+    log_epoch epoch = 0;
 };
 
 /// A record_rollout had no effect: another record was appended first, or the store refused the record.
--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/text_id.h"
+#include "kernel/types.h"
 
 #include <cstdint>
 #include <memory>
@@ -167,6 +168,8 @@
     backend_condition condition = backend_condition::ready;
     /// Start time of the process; differs for each start under the same id. 0 when the platform doesn't state it.
     std::int64_t startedUnixMilliseconds = 0;
+    /// Grows with each report of the process; starts anew with the process. 0 when the platform doesn't state it.
+    std::uint64_t sequence = 0;
 };
 
 enum class rollout_phase {
@@ -188,6 +191,8 @@
     duration limit{};
     /// Position of the order in the log of orders.
     std::uint64_t position = 0;
+    /// Epoch of the platform's log that the position belongs to.
+    log_epoch epoch = 0;
 };
 
 /// Phase of a roll-out as recorded in the platform's log.
--- a/src/libs/kernel/types.h
+++ b/src/libs/kernel/types.h
@@ -14,6 +14,8 @@
 /// Number of an attempt, unique within one run of the process.
 using attempt_number = std::uint64_t;
 using log_offset = std::uint64_t;
+/// Number of times that the log was restored from an older copy. Positions of different epochs can't be compared.
+using log_epoch = std::uint64_t;
 
 /// Whether a refused or failed request was executed, as far as the router can tell.
 enum class execution_state {
