Forward the epoch of the log with parts of topics

Callers of other systems saw changes that were not in force after the store had returned from an older copy. Cause here: the parts that VMs forward to each other held positions only, so that a VM that had loaded the restored log applied parts of the replaced one, and the reverse. A part now states its epoch.

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -125,6 +125,8 @@
     std::string packedRecords = {};
     /// Size of the records before compression.
     std::uint32_t unpackedBytes = 0;
+    /// Epoch of the platform's log that the positions belong to.
+    log_epoch epoch = 0;
 };
 
 /// Counts of answers by their delay relative to the delay to expect, in steps of half an octave; counts saturate.
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -240,7 +240,8 @@
                                            message.storeFailureAge ? message.storeFailureAge->count() : -1,
                                            records,
                                            packed,
-                                           message.unpackedBytes));
+                                           message.unpackedBytes,
+                                           message.epoch));
 }
 
 std::array<std::uint8_t, delay_histogram::size> encodeDelays(const delay_histogram &delays)
@@ -514,6 +515,7 @@
     part.stream = message.stream()->str();
     part.first = message.first();
     part.next = message.next();
+    part.epoch = message.epoch();
     part.age = std::chrono::milliseconds(message.age_ms());
     if (message.disturbed_age_ms() >= 0) {
         part.storeFailureAge = std::chrono::milliseconds(message.disturbed_age_ms());
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -1557,7 +1557,8 @@
     VT_DISTURBED_AGE_MS = 12,
     VT_RECORDS = 14,
     VT_PACKED = 16,
-    VT_UNPACKED_BYTES = 18
+    VT_UNPACKED_BYTES = 18,
+    VT_EPOCH = 20
   };
   const flatbuffers::String *stream() const {
     return GetPointer<const flatbuffers::String *>(VT_STREAM);
@@ -1583,6 +1584,9 @@
   uint32_t unpacked_bytes() const {
     return GetField<uint32_t>(VT_UNPACKED_BYTES, 0);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_STREAM) &&
@@ -1597,6 +1601,7 @@
            VerifyOffset(verifier, VT_PACKED) &&
            verifier.VerifyVector(packed()) &&
            VerifyField<uint32_t>(verifier, VT_UNPACKED_BYTES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -1629,6 +1634,9 @@
   void add_unpacked_bytes(uint32_t unpacked_bytes) {
     fbb_.AddElement<uint32_t>(stream_part::VT_UNPACKED_BYTES, unpacked_bytes, 0);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(stream_part::VT_EPOCH, epoch, 0);
+  }
   explicit stream_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1650,8 +1658,10 @@
     int64_t disturbed_age_ms = -1LL,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocuslane::wire::stream_record>>> records = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
-    uint32_t unpacked_bytes = 0) {
+    uint32_t unpacked_bytes = 0,
+    uint64_t epoch = 0) {
   stream_partBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_disturbed_age_ms(disturbed_age_ms);
   builder_.add_next(next);
   builder_.add_first(first);
@@ -1677,7 +1687,8 @@
     int64_t disturbed_age_ms = -1LL,
     const std::vector<flatbuffers::Offset<crocuslane::wire::stream_record>> *records = nullptr,
     const std::vector<uint8_t> *packed = nullptr,
-    uint32_t unpacked_bytes = 0) {
+    uint32_t unpacked_bytes = 0,
+    uint64_t epoch = 0) {
   auto stream__ = stream ? _fbb.CreateString(stream) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<crocuslane::wire::stream_record>>(*records) : 0;
   auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
@@ -1690,7 +1701,8 @@
       disturbed_age_ms,
       records__,
       packed__,
-      unpacked_bytes);
+      unpacked_bytes,
+      epoch);
 }
 
 struct stream_record_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -104,9 +104,10 @@
     CHECK((text.version == 12 && text.asOf == 99 && text.text == "[service a]\n"));
 
     stream_part sent{"s", 4, 9, std::chrono::milliseconds(70), std::chrono::milliseconds(5), {}};
+    sent.epoch = 3;
     sent.records = {{"kept", "a value", 5}, {"dropped", std::nullopt, 8}};
     const auto part = std::get<stream_part>(roundTrip(sent));
-    CHECK((part.stream == "s" && part.first == 4 && part.next == 9));
+    CHECK((part.stream == "s" && part.first == 4 && part.next == 9 && part.epoch == 3));
     CHECK((part.age.count() == 70 && part.storeFailureAge->count() == 5));
     REQUIRE(part.records.size() == 2);
     CHECK((part.records[0].key == "kept" && *part.records[0].value == "a value" && part.records[0].offset == 5));
