--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -189,7 +189,7 @@
 struct rollout_records_read {
     std::vector<rollout_record> records;
     log_offset end = 0;
-    /// Epoch of the platform's log that @c end belongs to.
+    /// Epoch of the platform's log that @c end belongs to. The first event of an epoch lists all records.
     log_epoch epoch = 0;
 };
 
