Keep leaving runners out when the log is restored from an older copy

Callers' requests went to runners that were about to exit: after a restore the list has runners as ready whose leaving the VM had read, until they report again.

Cause: the table took each list for newer than the one before.

Why it works: a process that leaves doesn't become ready again. In a later epoch than that of the known entry, a ready entry of the same process counts only if its sequence is above the known one, or if it differs from the stale copy that was listed first. Each ignored runner is logged once for each epoch (runner_entry_stale).

--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -57,12 +57,16 @@
     std::set<runner_id> listed;
     for (const backend_entry &entry : list.entries) {
         listed.insert(entry.id);
+        if (isStale(entry, list.epoch, log)) {
+            continue;
+        }
         const auto found = m_backends.find(entry.id);
         if (found == m_backends.end()) {
             add(entry, log);
         } else {
             update(found->second, entry, log);
         }
+        m_backends[entry.id].history.replaced(list.epoch);
     }
     for (auto &[id, record] : m_backends) {
         if (listed.contains(id) || record.removeAt) {
@@ -74,6 +78,19 @@
     expire(now, log);
 }
 
+bool backend_table::isStale(const backend_entry &entry, log_epoch epoch, action_list &log)
+{
+    const auto found = m_backends.find(entry.id);
+    if (found == m_backends.end()) {
+        return false;
+    }
+    const entry_history::age age = found->second.history.compare(found->second.entry, entry, epoch);
+    if (age == entry_history::age::first_stale) {
+        log.push_back(runnerLogEntry("runner_entry_stale", entry));
+    }
+    return age != entry_history::age::newer;
+}
+
 void backend_table::add(const backend_entry &entry, action_list &log)
 {
     m_backends[entry.id].entry = entry;
@@ -94,7 +111,10 @@
     const bool hasChanged = isRestart || entry.condition != record.entry.condition
         || entry.address != record.entry.address || entry.version != record.entry.version
         || entry.service != record.entry.service;
+    const std::uint64_t newestSequence = isRestart ? 0 : record.entry.sequence;
     record.entry = entry;
+    // An older copy of the log may list an earlier report of the same process.
+    record.entry.sequence = std::max(entry.sequence, newestSequence);
     if (hasChanged) {
         log.push_back(runnerLogEntry("runner_changed", entry));
     }
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -2,6 +2,7 @@
 
 #include "kernel/action.h"
 #include "kernel/event.h"
+#include "plugins/backends/entry_history.h"
 #include "plugins/backends/failure_record.h"
 #include "plugins/backends/prompt_cache.h"
 
@@ -27,6 +28,7 @@
 /// One runner with its load, failures and cached prompts as observed by this VM.
 struct backend_record {
     backend_entry entry;
+    entry_history history;
     /// Set when the runner is missing from the list: it is removed at this time unless it is listed again.
     std::optional<steady_time> removeAt;
     /// Requests of this VM in progress.
@@ -56,7 +58,8 @@
 {
 public:
     /// Applies a new list and adds to @p log an entry for each runner that was added, changed or removed. A ready
-    /// runner that is missing is kept until list.removalsIgnoredUntil; a leaving one is removed at once.
+    /// runner that is missing is kept until list.removalsIgnoredUntil; a leaving one is removed at once. Entries from
+    /// an older copy of the platform's log are ignored where a newer one is known.
     void applyList(const backend_list_read &list, steady_time now, action_list &log);
     /// Removes the missing runners whose removal time has passed.
     void expire(steady_time now, action_list &log);
@@ -78,6 +81,8 @@
     std::unordered_map<runner_id, backend_record> &backends();
 
 private:
+    /// Whether a newer entry is known of the runner.
+    bool isStale(const backend_entry &entry, log_epoch epoch, action_list &log);
     void update(backend_record &record, const backend_entry &entry, action_list &log);
     void add(const backend_entry &entry, action_list &log);
 
--- a/src/plugins/backends/tests/backend_table_test.cpp
+++ b/src/plugins/backends/tests/backend_table_test.cpp
@@ -1,7 +1,11 @@
 #include "plugins/backends/backend_table.h"
 
+#include "support/action_queries.h"
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace crocuslane;
 
 namespace {
@@ -27,6 +31,28 @@
         m_table.applyList({std::move(entries), m_clock.steadyNow() + grace}, m_clock.steadyNow(), m_log);
     }
 
+    static backend_entry
+    report(std::uint64_t sequence, backend_condition condition = backend_condition::ready, std::int64_t startedAt = 1)
+    {
+        backend_entry made = entry("a", condition);
+        made.sequence = sequence;
+        made.startedUnixMilliseconds = startedAt;
+        return made;
+    }
+
+    /// Lists from the log that was restored @p epoch times.
+    void listIn(log_epoch epoch, std::vector<backend_entry> entries)
+    {
+        m_table.applyList({std::move(entries), m_clock.steadyNow(), epoch}, m_clock.steadyNow(), m_log);
+    }
+
+    std::size_t staleLogEntries() const
+    {
+        const auto entries = all<log_decision>(m_log);
+        return static_cast<std::size_t>(std::count_if(
+            entries.begin(), entries.end(), [](const auto &each) { return each.event == "runner_entry_stale"; }));
+    }
+
     std::size_t usable()
     {
         return m_table.findReady(service_id("desk")).size();
@@ -95,6 +121,66 @@
     CHECK(m_table.size() == 0);
 }
 
+// Guards against new requests to a runner whose leaving this VM has read, after the store came back from an older copy.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "leaving runner, restored list has it ready, gets no requests until it reports again",
+                 "[backends]")
+{
+    listIn(0, {report(5)});
+    listIn(0, {report(7, backend_condition::leaving)});
+    listIn(1, {report(5)});
+    CHECK(usable() == 0);
+    listIn(1, {report(6), entry("b")});
+    CHECK(usable() == 1);
+    CHECK(m_table.find(runner_id("a"))->entry.condition == backend_condition::leaving);
+    CHECK(staleLogEntries() == 1);
+    listIn(1, {report(8)});
+    CHECK(usable() == 1);
+}
+
+// Guards against a second restore that undoes what was learned of the first one.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "leaving runner, list restored twice, gets no requests and is logged for each epoch",
+                 "[backends]")
+{
+    listIn(0, {report(7, backend_condition::leaving)});
+    listIn(1, {report(5)});
+    listIn(2, {report(4)});
+    listIn(2, {report(5)});
+    CHECK(usable() == 0);
+    CHECK(staleLogEntries() == 2);
+}
+
+// Guards against a stale copy that is used because the platform states no sequence, and against a runner that is never
+// used again.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "leaving runner without sequence, restored list has it ready, is used once its entry changes",
+                 "[backends]")
+{
+    listIn(0, {report(0, backend_condition::leaving)});
+    listIn(1, {report(0)});
+    listIn(1, {report(0), entry("b", backend_condition::leaving)});
+    CHECK(usable() == 0);
+    backend_entry changed = report(0);
+    changed.slots = 9;
+    listIn(1, {changed});
+    CHECK(usable() == 1);
+}
+
+// Guards against ignoring what a runner reports in one epoch of the log, where a later entry is newer.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "leaving or missing runner, listed as ready again in the same epoch, is used",
+                 "[backends]")
+{
+    listIn(3, {report(7, backend_condition::leaving)});
+    listIn(3, {report(7)});
+    CHECK(usable() == 1);
+    listIn(3, {});
+    CHECK(usable() == 0);
+    listIn(3, {report(7)});
+    CHECK(usable() == 1);
+}
+
 // Guards against using the cached prompts and the load of a runner from before its restart under the same id.
 TEST_CASE_METHOD(backend_table_fixture,
                  "runner, restarts under its id, cached prompts and load are reset",
