Keep runners out that were gone before the log was restored

Callers' requests went to runners that had left or ended: an older copy of the log has their entries again, as ready, until the platform removes them.

Cause: the table forgot a runner as soon as its entry was removed, so that the copy brought a new one.

The tests of a gone runner that reports again or was started again guard against keeping out one that lives.

Why it works: the entries of gone runners are kept for 60 s, at most 4096 (chosen, not measured: copies are some seconds old, and the platform removes silent entries within seconds). In a later epoch an entry of the same process counts once it is above the known sequence. In the first list of an epoch that isn't enough: the runner may have reported between the entry that this VM knew and its end, so one more report is needed.

--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -54,10 +54,13 @@
 
 void backend_table::applyList(const backend_list_read &list, steady_time now, action_list &log)
 {
+    const bool isFirstOfEpoch = list.epoch != m_epoch;
+    m_epoch = list.epoch;
+    m_gone.expire(now);
     std::set<runner_id> listed;
     for (const backend_entry &entry : list.entries) {
         listed.insert(entry.id);
-        if (isStale(entry, list.epoch, log)) {
+        if (isStale(entry, list.epoch, isFirstOfEpoch, log)) {
             continue;
         }
         const auto found = m_backends.find(entry.id);
@@ -78,13 +81,12 @@
     expire(now, log);
 }
 
-bool backend_table::isStale(const backend_entry &entry, log_epoch epoch, action_list &log)
+bool backend_table::isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log)
 {
     const auto found = m_backends.find(entry.id);
-    if (found == m_backends.end()) {
-        return false;
-    }
-    const entry_history::age age = found->second.history.compare(found->second.entry, entry, epoch);
+    const entry_history::age age = found == m_backends.end()
+        ? m_gone.compare(entry, epoch, isFirstOfEpoch)
+        : found->second.history.compare(found->second.entry, entry, epoch);
     if (age == entry_history::age::first_stale) {
         log.push_back(runnerLogEntry("runner_entry_stale", entry));
     }
@@ -93,6 +95,7 @@
 
 void backend_table::add(const backend_entry &entry, action_list &log)
 {
+    m_gone.remove(entry.id);
     m_backends[entry.id].entry = entry;
     log.push_back(runnerLogEntry("runner_listed", entry));
 }
@@ -127,6 +130,7 @@
         if (!record.removeAt || now < *record.removeAt) {
             return false;
         }
+        m_gone.add(record.entry, m_epoch, now);
         log.push_back(runnerLogEntry("runner_gone", record.entry));
         return true;
     });
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -4,6 +4,7 @@
 #include "kernel/event.h"
 #include "plugins/backends/entry_history.h"
 #include "plugins/backends/failure_record.h"
+#include "plugins/backends/gone_runners.h"
 #include "plugins/backends/prompt_cache.h"
 
 #include <map>
@@ -82,11 +83,14 @@
 
 private:
     /// Whether a newer entry is known of the runner.
-    bool isStale(const backend_entry &entry, log_epoch epoch, action_list &log);
+    bool isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log);
     void update(backend_record &record, const backend_entry &entry, action_list &log);
     void add(const backend_entry &entry, action_list &log);
 
     std::unordered_map<runner_id, backend_record> m_backends;
+    gone_runners m_gone;
+    /// Of the newest list.
+    log_epoch m_epoch = 0;
     std::unordered_map<attempt_number, attempt_load> m_attempts;
 };
 
--- a/src/plugins/backends/entry_history.cpp
+++ b/src/plugins/backends/entry_history.cpp
@@ -40,19 +40,40 @@
 
 entry_history::age entry_history::compare(const backend_entry &known, const backend_entry &listed, log_epoch epoch)
 {
-    if (epoch == m_epoch || !isFromBeforeLeaving(known, listed) || hasReportedSince(known, listed, epoch)) {
+    return ageOf(isFromBeforeLeaving(known, listed), known, listed, epoch);
+}
+
+entry_history::age entry_history::compareWithGone(const backend_entry &known,
+                                                  const backend_entry &listed,
+                                                  log_epoch epoch,
+                                                  bool isFirstOfEpoch)
+{
+    const bool isOlder = isSameProcess(known, listed) && listed.condition == backend_condition::ready
+        && (isFirstOfEpoch || hasStaleCopy(epoch) || listed.sequence <= known.sequence);
+    return ageOf(isOlder, known, listed, epoch);
+}
+
+entry_history::age
+entry_history::ageOf(bool isOlder, const backend_entry &known, const backend_entry &listed, log_epoch epoch)
+{
+    if (epoch == m_epoch || !isOlder || hasReportedSince(known, listed, epoch)) {
         return age::newer;
     }
-    if (m_staleCopy && m_staleCopy->epoch == epoch) {
+    if (hasStaleCopy(epoch)) {
         return age::stale;
     }
     m_staleCopy = {listed, epoch};
     return age::first_stale;
 }
 
+bool entry_history::hasStaleCopy(log_epoch epoch) const
+{
+    return m_staleCopy && m_staleCopy->epoch == epoch;
+}
+
 bool entry_history::hasReportedSince(const backend_entry &known, const backend_entry &listed, log_epoch epoch) const
 {
-    if (!m_staleCopy || m_staleCopy->epoch != epoch) {
+    if (!hasStaleCopy(epoch)) {
         return false;
     }
     const backend_entry &copy = m_staleCopy->entry;
--- a/src/plugins/backends/tests/backend_table_test.cpp
+++ b/src/plugins/backends/tests/backend_table_test.cpp
@@ -181,6 +181,80 @@
     CHECK(usable() == 1);
 }
 
+// Guards against new requests to a runner whose entry this VM has seen removed, and against a copy that is newer than
+// the last entry that this VM had read before the removal.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "gone runner, restored list has it ready, gets no requests until it reports again",
+                 "[backends]")
+{
+    listIn(0, {report(5)});
+    listIn(0, {});
+    listIn(1, {report(6)});
+    CHECK(usable() == 0);
+    listIn(1, {report(6), entry("b", backend_condition::leaving)});
+    CHECK(usable() == 0);
+    CHECK(staleLogEntries() == 1);
+    listIn(1, {report(7)});
+    CHECK(usable() == 1);
+}
+
+// Guards against a runner that is never used again although it lives: it reports after its entry was removed.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "gone runner, reports later than the first restored list, is used",
+                 "[backends]")
+{
+    listIn(0, {report(5)});
+    listIn(0, {});
+    listIn(1, {});
+    listIn(1, {report(6)});
+    CHECK(usable() == 1);
+}
+
+// Guards against a new process that is taken for the one that is gone.
+TEST_CASE_METHOD(backend_table_fixture, "gone runner, started again, is used", "[backends]")
+{
+    listIn(0, {report(5)});
+    listIn(0, {});
+    listIn(1, {report(1, backend_condition::ready, 2)});
+    CHECK(usable() == 1);
+}
+
+// Guards against a stale copy that brings a runner back through its leaving entry.
+TEST_CASE_METHOD(backend_table_fixture, "gone runner, restored list has it leaving, gets no requests", "[backends]")
+{
+    listIn(0, {report(5)});
+    listIn(0, {report(6, backend_condition::leaving)});
+    listIn(0, {});
+    listIn(1, {report(6, backend_condition::leaving)});
+    listIn(2, {report(5)});
+    CHECK(usable() == 0);
+}
+
+// Guards against a runner that is kept away for ever, and against memory that grows with the runners that have ended.
+TEST_CASE_METHOD(backend_table_fixture, "gone runner, a minute after its removal, is used when listed", "[backends]")
+{
+    listIn(0, {report(0)});
+    listIn(0, {});
+    m_clock.advance(std::chrono::seconds(59));
+    listIn(1, {report(0)});
+    CHECK(usable() == 0);
+    m_clock.advance(std::chrono::seconds(2));
+    listIn(1, {report(0)});
+    CHECK(usable() == 1);
+}
+
+// Guards against memory that grows with the runners that have ended.
+TEST_CASE_METHOD(backend_table_fixture, "gone runners, very many, the oldest are forgotten", "[backends]")
+{
+    for (int index = 0; index < 5000; ++index) {
+        listIn(0, {entry("runner " + std::to_string(index))});
+    }
+    listIn(0, {});
+    listIn(1, {entry("runner 0"), entry("runner 4999")});
+    CHECK(usable() == 1);
+    CHECK(m_table.find(runner_id("runner 0")) != nullptr);
+}
+
 // Guards against using the cached prompts and the load of a runner from before its restart under the same id.
 TEST_CASE_METHOD(backend_table_fixture,
                  "runner, restarts under its id, cached prompts and load are reset",
