Keep the newer process of a runner when the log is restored

Callers' requests failed: the older copy of the list names the process before a runner's restart, with its address or as leaving, and the VM dropped the newer process until it reported again.

Cause: any other start time counted as a restart.

Evidence: in backends_test "restarted runner, restored list has the earlier process" and "gone runner, restored list has the process before it" failed before.

Why it works: in a later epoch than that of the known entry, a process that started before the known one is stale. A process whose machine set its clock back is used as soon as it reports again ("starts anew with an earlier time").

--- a/src/plugins/backends/entry_history.cpp
+++ b/src/plugins/backends/entry_history.cpp
@@ -24,6 +24,12 @@
                     entry.startedUnixMilliseconds);
 }
 
+// A start time of 0 is not known.
+bool isEarlierProcess(const backend_entry &known, const backend_entry &listed)
+{
+    return listed.startedUnixMilliseconds > 0 && listed.startedUnixMilliseconds < known.startedUnixMilliseconds;
+}
+
 // A process that leaves does not become ready again: the entry was written before it reported that.
 bool isFromBeforeLeaving(const backend_entry &known, const backend_entry &listed)
 {
@@ -40,7 +46,8 @@
 
 entry_history::age entry_history::compare(const backend_entry &known, const backend_entry &listed, log_epoch epoch)
 {
-    return ageOf(isFromBeforeLeaving(known, listed), known, listed, epoch);
+    const bool isOlder = isEarlierProcess(known, listed) || isFromBeforeLeaving(known, listed);
+    return ageOf(isOlder, known, listed, epoch);
 }
 
 entry_history::age entry_history::compareWithGone(const backend_entry &known,
@@ -48,9 +55,9 @@
                                                   log_epoch epoch,
                                                   bool isFirstOfEpoch)
 {
-    const bool isOlder = isSameProcess(known, listed) && listed.condition == backend_condition::ready
+    const bool isUnchanged = isSameProcess(known, listed) && listed.condition == backend_condition::ready
         && (isFirstOfEpoch || hasStaleCopy(epoch) || listed.sequence <= known.sequence);
-    return ageOf(isOlder, known, listed, epoch);
+    return ageOf(isEarlierProcess(known, listed) || isUnchanged, known, listed, epoch);
 }
 
 entry_history::age
--- a/src/plugins/backends/tests/backend_table_test.cpp
+++ b/src/plugins/backends/tests/backend_table_test.cpp
@@ -255,6 +255,45 @@
     CHECK(m_table.find(runner_id("runner 0")) != nullptr);
 }
 
+// Guards against requests to the process before a restart, which the older copy of the list names.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "restarted runner, restored list has the earlier process, keeps the newer one",
+                 "[backends]")
+{
+    backend_entry newer = report(2, backend_condition::ready, 20);
+    newer.address = "10.0.0.2:80";
+    listIn(0, {newer});
+    listIn(1, {report(9, backend_condition::leaving, 10)});
+    CHECK(usable() == 1);
+    CHECK(m_table.find(runner_id("a"))->entry.address == "10.0.0.2:80");
+    CHECK(staleLogEntries() == 1);
+    listIn(1, {report(3, backend_condition::leaving, 20)});
+    CHECK(usable() == 0);
+}
+
+// Guards against a process before the one that is gone.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "gone runner, restored list has the process before it, gets no requests",
+                 "[backends]")
+{
+    listIn(0, {report(2, backend_condition::ready, 20)});
+    listIn(0, {});
+    listIn(1, {report(9, backend_condition::ready, 10)});
+    CHECK(usable() == 0);
+}
+
+// Guards against a new process that is ignored for ever because the clock of its machine was set back.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "runner, starts anew with an earlier time, is used when it reports again",
+                 "[backends]")
+{
+    listIn(0, {report(2, backend_condition::leaving, 20)});
+    listIn(1, {report(1, backend_condition::ready, 10)});
+    CHECK(usable() == 0);
+    listIn(1, {report(2, backend_condition::ready, 10)});
+    CHECK(usable() == 1);
+}
+
 // Guards against using the cached prompts and the load of a runner from before its restart under the same id.
 TEST_CASE_METHOD(backend_table_fixture,
                  "runner, restarts under its id, cached prompts and load are reset",
