Continue a roll-out whose order is read again in a later epoch

Callers would get a version again that had been rolled back, or sessions would change their version: after a restore of the log the order comes at another position, and only its position told whether it is the same one. A truly new order at a lower position was ignored.

Cause: positions of different epochs were compared.

Evidence: in rollouts_plugin_test "read again after a restore", "new after a restore", "repeated in one epoch" and "of an earlier epoch" failed before; "sessions, order read again" fails with the position as the seed (30 and 12).

Why it works: an order with the same service, target and time limit in a later epoch continues the one that is known: it takes the new position and keeps its phase, evidence and times (log line rollout_continued). Any other order of a later epoch is new at any position; within an epoch the position decides as before. Sessions are hashed with the target as the seed, so that VMs that started before and after the restore agree.

--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace crocuslane {
 
@@ -48,6 +49,17 @@
     return m_order;
 }
 
+bool rollout::isSameOrder(const rollout_order &order) const
+{
+    return std::tie(m_order.service, m_order.target, m_order.limit)
+        == std::tie(order.service, order.target, order.limit);
+}
+
+void rollout::continueAt(const rollout_order &order)
+{
+    m_order = order;
+}
+
 rollout_phase rollout::phase() const
 {
     return m_phase;
@@ -125,7 +137,8 @@
     return now < timeAt(lateCanaryFraction) ? canarySessionShare : lateCanarySessionShare;
 }
 
-// All VMs have to send a session to the same version, without communication.
+// All VMs have to send a session to the same version, without communication. The position of the order is no seed:
+// after a restore of the log it differs between the VMs.
 bool rollout::usesNewVersion(const std::string &session, steady_time now) const
 {
     const double share = sessionShare(now);
@@ -133,7 +146,8 @@
         return m_phase == rollout_phase::cutover && m_random.unit() < share;
     }
     constexpr double hashRange = 18446744073709551616.0;
-    const std::uint64_t hash = XXH3_64bits_withSeed(session.data(), session.size(), m_order.position);
+    const std::uint64_t seed = XXH3_64bits(m_order.target.data(), m_order.target.size());
+    const std::uint64_t hash = XXH3_64bits_withSeed(session.data(), session.size(), seed);
     return static_cast<double>(hash) / hashRange < share;
 }
 
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -16,6 +16,10 @@
     rollout(rollout_order order, const rollout_settings &settings, random_source &random, steady_time now);
 
     const rollout_order &order() const;
+    /// Whether @p order, of a later epoch of the log, is this one: the same target and time limit.
+    bool isSameOrder(const rollout_order &order) const;
+    /// Adopts the position of the order in a later epoch. Phase, evidence and times stay.
+    void continueAt(const rollout_order &order);
     rollout_phase phase() const;
     /// Applies the phase of a record that was read from the platform. A final phase is never replaced.
     void applyRecord(rollout_phase phase, steady_time now);
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <tuple>
 
 namespace crocuslane {
 
@@ -121,9 +122,38 @@
     void applyOrder(const rollout_order &order, action_list &actions)
     {
         const auto found = m_rollouts.find(order.service);
-        if (found != m_rollouts.end() && found->second.order().position >= order.position) {
+        if (found != m_rollouts.end() && !isNewer(order, found->second.order())) {
             return;
         }
+        if (found != m_rollouts.end() && found->second.order().epoch < order.epoch
+            && found->second.isSameOrder(order)) {
+            continueOrder(found->second, order, actions);
+            return;
+        }
+        begin(order, actions);
+    }
+
+    /// Positions of different epochs can't be compared.
+    static bool isNewer(const rollout_order &order, const rollout_order &known)
+    {
+        return std::tie(order.epoch, order.position) > std::tie(known.epoch, known.position);
+    }
+
+    void continueOrder(rollout &continued, const rollout_order &order, action_list &actions)
+    {
+        actions.push_back(log_decision{"rollout_continued",
+                                       {},
+                                       {{"service", order.service.value()},
+                                        {"target", order.target},
+                                        {"phase", std::string(toName(continued.phase()))},
+                                        {"position", std::to_string(order.position)},
+                                        {"was", std::to_string(continued.order().position)},
+                                        {"epoch", std::to_string(order.epoch)}}});
+        continued.continueAt(order);
+    }
+
+    void begin(const rollout_order &order, action_list &actions)
+    {
         m_rollouts.erase(order.service);
         rollout &added =
             m_rollouts.try_emplace(order.service, order, m_settings, m_context->random, now()).first->second;
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 
 using namespace crocuslane;
 
@@ -104,6 +105,51 @@
         }
     }
 
+    /// Order of @p target at @p position of the log that was restored @p epoch times, read by one VM.
+    action_list order(std::size_t vm, log_epoch epoch, std::uint64_t position, const std::string &target = "v2")
+    {
+        const rollout_order ordered{service_id("model"), target, std::chrono::seconds(20), position, epoch};
+        return collected(vm, m_vms[vm]->core->handle(rollout_ordered{ordered}));
+    }
+
+    /// The records of the log that was restored @p epoch times, read by one VM.
+    action_list records(std::size_t vm, log_epoch epoch, log_offset end, const std::vector<rollout_record> &read = {})
+    {
+        return collected(vm, m_vms[vm]->core->handle(rollout_records_read{read, end, epoch}));
+    }
+
+    static rollout_record recordOf(std::uint64_t orderPosition, rollout_phase phase, const std::string &target = "v2")
+    {
+        return {service_id("model"), target, orderPosition, phase};
+    }
+
+    action_list collected(std::size_t vm, const action_list &actions)
+    {
+        collect(vm, actions);
+        return actions;
+    }
+
+    /// Whether the new version is used after enough requests for a canary.
+    bool usesNewVersion(std::size_t vm, const std::string &target = "v2")
+    {
+        for (int request = 0; request < 60; ++request) {
+            policy(vm).attemptStarted(service_id("model"), "v1", true);
+        }
+        return policy(vm).choose(service_id("model"), {}).allows(target);
+    }
+
+    /// Sessions that a VM sends to the new version.
+    std::set<int> newSessions(std::size_t vm)
+    {
+        std::set<int> found;
+        for (int session = 0; session < 300; ++session) {
+            if (policy(vm).rule(service_id("model"), "session " + std::to_string(session)).allows("v2")) {
+                found.insert(session);
+            }
+        }
+        return found;
+    }
+
     void observe(std::size_t vm, const std::string &version, int count, bool hasFailed)
     {
         version_observation observation;
@@ -145,6 +191,7 @@
         }
         for (const record_rollout &each : all<record_rollout>(actions)) {
             m_recorded.push_back(each.record.phase);
+            m_sent.push_back(each);
         }
     }
 
@@ -171,6 +218,7 @@
     std::vector<std::unique_ptr<vm>> m_vms;
     std::vector<message> m_messages;
     std::vector<rollout_phase> m_recorded;
+    std::vector<record_rollout> m_sent;
     std::size_t m_messageCount = 0;
 };
 
@@ -237,3 +285,65 @@
     m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
     CHECK_FALSE(policy(0).choose(service_id("model"), {}).allows("v2"));
 }
+
+// Guards against a version that was rolled back and gets requests again because the order is read anew.
+TEST_CASE_METHOD(fleet_fixture, "order, read again after a restore, keeps its phase", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, rollout_phase::rolled_back)});
+    CHECK_FALSE(usesNewVersion(0));
+    const action_list actions = order(0, 1, 12);
+    CHECK_FALSE(usesNewVersion(0));
+    CHECK(std::string(one<log_decision>(actions).event) == "rollout_continued");
+    CHECK(all<log_decision>(order(0, 1, 12)).empty());
+    CHECK_FALSE(usesNewVersion(0));
+}
+
+// Guards against an order that is forgotten after a restore, because it stands at a lower position than the one before.
+TEST_CASE_METHOD(fleet_fixture, "order, new after a restore, is taken at a lower position", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, rollout_phase::completed)});
+    order(0, 1, 12, "v3");
+    CHECK(usesNewVersion(0, "v3"));
+    CHECK(policy(0).rule(service_id("model"), {}).allows("v2"));
+}
+
+// Guards against ignoring an operator who repeats an order in the same epoch of the log.
+TEST_CASE_METHOD(fleet_fixture, "order, repeated in one epoch at a higher position, starts anew", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    order(0, 1, 12);
+    records(0, 1, 50, {recordOf(12, rollout_phase::rolled_back)});
+    CHECK_FALSE(usesNewVersion(0));
+    order(0, 1, 14);
+    CHECK(usesNewVersion(0));
+    order(0, 1, 12);
+    CHECK(usesNewVersion(0));
+}
+
+// Guards against a list of an earlier epoch that replaces an order.
+TEST_CASE_METHOD(fleet_fixture, "order, of an earlier epoch, is ignored", "[rollouts]")
+{
+    start(1);
+    order(0, 1, 12);
+    CHECK(order(0, 0, 30, "v3").empty());
+}
+
+// Guards against sessions that change their version because the order stands at another position, also between VMs that
+// started before and after the restore.
+TEST_CASE_METHOD(fleet_fixture, "sessions, order read again after a restore, keep their versions", "[rollouts]")
+{
+    start(2);
+    order(0, 0, 30);
+    order(1, 1, 12);
+    run(std::chrono::seconds(11));
+    const std::set<int> before = newSessions(0);
+    CHECK(!before.empty());
+    order(0, 1, 12);
+    CHECK(newSessions(0) == before);
+    CHECK(newSessions(1) == before);
+}
