Append the phase of a roll-out again that a restored log lacks

Operators didn't see how a roll-out had ended, and entry VMs that started after a restore began it anew: its record was lost, and no VM wrote it again. Appends went to the end of the lost log, and records were taken for an order at the same position of another epoch.

Cause: a VM that has read a record took it for kept, and the end and the records that were read had no epoch.

Why it works: records and their end belong to one epoch; those of another one, or of another target or position, don't count. In a new epoch a VM keeps its phase, appends it with the new position as long as the log has no record that is as late or final, and does so only after it has read both the order and the records of that epoch. Each VM waits a random time as for other phases. A final record that contradicts a VM's own final phase is left, so that VMs don't replace each other's records.

--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -32,6 +32,11 @@
 constexpr std::uint64_t jitterMilliseconds = 400;
 constexpr std::chrono::milliseconds retryDelay{250};
 
+bool isFinalPhase(rollout_phase phase)
+{
+    return phase == rollout_phase::completed || phase == rollout_phase::rolled_back;
+}
+
 } // namespace
 
 rollout::rollout(rollout_order order, const rollout_settings &settings, random_source &random, steady_time now)
@@ -41,6 +46,7 @@
     , m_orderReadAt(now)
     , m_nextRecordAt(now)
     , m_phaseJitter(std::chrono::milliseconds(random.below(jitterMilliseconds)))
+    , m_unrecordedSince(now)
 {
 }
 
@@ -55,9 +61,11 @@
         == std::tie(order.service, order.target, order.limit);
 }
 
-void rollout::continueAt(const rollout_order &order)
+void rollout::continueAt(const rollout_order &order, steady_time now)
 {
     m_order = order;
+    m_recorded.reset();
+    m_unrecordedSince = now;
 }
 
 rollout_phase rollout::phase() const
@@ -67,12 +75,17 @@
 
 bool rollout::isFinal() const
 {
-    return m_phase == rollout_phase::completed || m_phase == rollout_phase::rolled_back;
+    return isFinalPhase(m_phase);
+}
+
+bool rollout::isRecorded() const
+{
+    return m_recorded && (*m_recorded >= m_phase || isFinalPhase(*m_recorded));
 }
 
 void rollout::applyRecord(rollout_phase phase, steady_time now)
 {
-    m_hasRecord = true;
+    m_recorded = phase;
     if (isFinal() || phase == rollout_phase::canary) {
         return;
     }
@@ -189,7 +202,19 @@
 
 std::optional<rollout_phase> rollout::phaseToRecord(steady_time now, bool isOldVersionIdle) const
 {
-    if (isFinal() || now < m_nextRecordAt) {
+    if (now < m_nextRecordAt) {
+        return std::nullopt;
+    }
+    if (const auto next = nextPhase(now, isOldVersionIdle)) {
+        return next;
+    }
+    const bool isDue = now >= m_unrecordedSince + m_phaseJitter;
+    return isDue && !isRecorded() ? std::optional(m_phase) : std::nullopt;
+}
+
+std::optional<rollout_phase> rollout::nextPhase(steady_time now, bool isOldVersionIdle) const
+{
+    if (isFinal()) {
         return std::nullopt;
     }
     if (m_hasRegressed) {
@@ -208,9 +233,6 @@
     if (now >= timeAt(latestCutoverFraction) + m_phaseJitter) {
         return rollout_phase::rolled_back;
     }
-    if (!m_hasRecord && now >= m_orderReadAt + m_phaseJitter) {
-        return rollout_phase::canary;
-    }
     return std::nullopt;
 }
 
@@ -240,10 +262,7 @@
 
 steady_time rollout::nextRecordTime() const
 {
-    if (isFinal()) {
-        return steady_time::max();
-    }
-    return m_nextRecordAt;
+    return isFinal() && isRecorded() ? steady_time::max() : m_nextRecordAt;
 }
 
 void rollout::postpone(steady_time now)
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -18,8 +18,9 @@
     const rollout_order &order() const;
     /// Whether @p order, of a later epoch of the log, is this one: the same target and time limit.
     bool isSameOrder(const rollout_order &order) const;
-    /// Adopts the position of the order in a later epoch. Phase, evidence and times stay.
-    void continueAt(const rollout_order &order);
+    /// Adopts the position of the order in a later epoch. Phase, evidence and times stay; no record of that epoch is
+    /// known.
+    void continueAt(const rollout_order &order, steady_time now);
     rollout_phase phase() const;
     /// Applies the phase of a record that was read from the platform. A final phase is never replaced.
     void applyRecord(rollout_phase phase, steady_time now);
@@ -36,11 +37,12 @@
     std::vector<version_evidence::route_counts> ownCounts() const;
     /// Number of observations of the new version; grows with each one.
     std::uint64_t newObservations() const;
-    /// The phase that this VM should record now; nothing while the current phase continues.
+    /// The phase that this VM should record now: the next one, or the current one if its record was lost. Nothing while
+    /// the current phase continues.
     std::optional<rollout_phase> phaseToRecord(steady_time now, bool isOldVersionIdle) const;
     /// version_comparison::describe()
     std::string describeEvidence() const;
-    /// Earliest time at which phaseToRecord() may return a phase; the maximum once the phase is final.
+    /// Earliest time at which phaseToRecord() may return a phase; the maximum once a final phase is recorded.
     steady_time nextRecordTime() const;
     /// Delays the next record after this VM sent one, or after another VM's record came first.
     void postpone(steady_time now);
@@ -54,8 +56,11 @@
     double sessionShare(steady_time now) const;
     bool usesNewVersion(const std::string &session, steady_time now) const;
     bool isFinal() const;
+    /// Whether the log has a record of the current phase, of a later one or of the other final one.
+    bool isRecorded() const;
     /// The time at which @p fraction of the order's time limit has passed.
     steady_time timeAt(double fraction) const;
+    std::optional<rollout_phase> nextPhase(steady_time now, bool isOldVersionIdle) const;
     std::optional<rollout_phase> phaseAfterCanary(steady_time now) const;
     std::optional<rollout_phase> phaseAfterCutover(steady_time now, bool isOldVersionIdle) const;
 
@@ -67,7 +72,10 @@
     /// Random delay, so that the VMs don't all try to record a phase at once.
     duration m_phaseJitter{};
     rollout_phase m_phase = rollout_phase::canary;
-    bool m_hasRecord = false;
+    /// Phase of the newest record in the current epoch of the log.
+    std::optional<rollout_phase> m_recorded;
+    /// Since when no record is known.
+    steady_time m_unrecordedSince;
     /// When the cutover was recorded, as far as this VM knows, and when this VM read that.
     steady_time m_cutoverAt;
     steady_time m_cutoverReadAt;
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -149,7 +149,8 @@
                                         {"position", std::to_string(order.position)},
                                         {"was", std::to_string(continued.order().position)},
                                         {"epoch", std::to_string(order.epoch)}}});
-        continued.continueAt(order);
+        continued.continueAt(order, now());
+        applyKnownRecord(continued);
     }
 
     void begin(const rollout_order &order, action_list &actions)
@@ -166,19 +167,47 @@
         for (const version_evidence &entry : m_evidence.entriesOf(order.service, order.position)) {
             added.addEvidence(entry);
         }
-        const auto record = m_records.find(order.service);
-        if (record != m_records.end() && record->second.orderPosition == order.position) {
-            added.applyRecord(record->second.phase, now());
+        applyKnownRecord(added);
+    }
+
+    /// Applies the record of a roll-out that was read before its order.
+    void applyKnownRecord(rollout &target)
+    {
+        const auto record = m_records.find(target.order().service);
+        if (record != m_records.end() && isRecordOf(target.order(), record->second)) {
+            target.applyRecord(record->second.phase, now());
+        }
+    }
+
+    /// Whether a record of the current epoch of the records is one of @p order.
+    bool isRecordOf(const rollout_order &order, const rollout_record &record) const
+    {
+        return order.epoch == m_recordsEpoch && order.position == record.orderPosition && order.target == record.target;
+    }
+
+    void beginRecords(log_epoch epoch)
+    {
+        m_recordsEpoch = epoch;
+        m_records.clear();
+        // The VMs read the new epoch at about the same time.
+        for (auto &[service, each] : m_rollouts) {
+            each.postpone(now());
         }
     }
 
     void applyRecords(const rollout_records_read &read, action_list &actions)
     {
+        if (read.epoch < m_recordsEpoch) {
+            return;
+        }
+        if (read.epoch > m_recordsEpoch) {
+            beginRecords(read.epoch);
+        }
         m_recordsEnd = read.end;
         for (const rollout_record &record : read.records) {
             m_records[record.service] = record;
             const auto found = m_rollouts.find(record.service);
-            if (found == m_rollouts.end() || found->second.order().position != record.orderPosition) {
+            if (found == m_rollouts.end() || !isRecordOf(found->second.order(), record)) {
                 continue;
             }
             const rollout_phase before = found->second.phase();
@@ -232,6 +261,10 @@
         }
         m_nextCheck = now() + checkInterval;
         for (auto &[service, each] : m_rollouts) {
+            // Until both were read in the same epoch, the records' end or the order's position is that of a lost log.
+            if (each.order().epoch != m_recordsEpoch) {
+                continue;
+            }
             const std::optional<rollout_phase> phase = each.phaseToRecord(now(), isOldVersionIdle(each.order()));
             if (!phase) {
                 continue;
@@ -271,6 +304,8 @@
     std::map<service_id, rollout_record> m_records;
     std::vector<backend_entry> m_backends;
     log_offset m_recordsEnd = 0;
+    /// Epoch of the log that m_records and m_recordsEnd belong to.
+    log_epoch m_recordsEpoch = 0;
     steady_time m_nextCheck;
     evidence_exchange m_evidence;
     steady_time m_nextExchange;
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -347,3 +347,103 @@
     CHECK(newSessions(0) == before);
     CHECK(newSessions(1) == before);
 }
+
+// Guards against a roll-out without a record: the phase that the restored log lacks is missing for operators and for
+// VMs that start later.
+TEST_CASE_METHOD(fleet_fixture, "record, lost in a restore, is appended again for the new position", "[rollouts]")
+{
+    const auto phase =
+        GENERATE(rollout_phase::canary, rollout_phase::cutover, rollout_phase::completed, rollout_phase::rolled_back);
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, phase)});
+    run(std::chrono::seconds(1));
+    CHECK(m_sent.empty());
+    order(0, 1, 12);
+    run(std::chrono::seconds(2));
+    CHECK(m_sent.empty());
+    records(0, 1, 20);
+    run(std::chrono::seconds(1));
+    REQUIRE(!m_sent.empty());
+    CHECK(m_sent[0].record.orderPosition == 12);
+    CHECK(m_sent[0].record.phase == phase);
+    CHECK(m_sent[0].expectedEnd == 20);
+    records(0, 1, 21, {recordOf(12, phase)});
+    const std::size_t sent = m_sent.size();
+    run(std::chrono::seconds(3));
+    CHECK(m_sent.size() == sent);
+}
+
+// Guards against records of the earlier log's end: such an append is refused, or replaces another VM's record.
+TEST_CASE_METHOD(fleet_fixture, "record, order not yet read in the new epoch, is not appended", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50);
+    records(0, 1, 20);
+    run(std::chrono::seconds(2));
+    CHECK(m_sent.empty());
+    order(0, 1, 12);
+    run(std::chrono::seconds(1));
+    REQUIRE(!m_sent.empty());
+    CHECK(m_sent[0].expectedEnd == 20);
+}
+
+// Guards against a VM that goes back to an earlier phase, and against appends without need.
+TEST_CASE_METHOD(fleet_fixture, "phase, restored log has an earlier one, is kept and appended again", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, rollout_phase::completed)});
+    records(0, 1, 20, {recordOf(30, rollout_phase::cutover)});
+    order(0, 1, 30);
+    CHECK_FALSE(policy(0).rule(service_id("model"), {}).allows("v1"));
+    run(std::chrono::seconds(1));
+    REQUIRE(!m_sent.empty());
+    CHECK(m_sent[0].record.phase == rollout_phase::completed);
+}
+
+// Guards against two VMs that replace each other's final records without end.
+TEST_CASE_METHOD(fleet_fixture, "final phase, restored log has another one, is not appended again", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, rollout_phase::rolled_back)});
+    order(0, 1, 12);
+    records(0, 1, 20, {recordOf(12, rollout_phase::completed)});
+    run(std::chrono::seconds(3));
+    CHECK(m_sent.empty());
+}
+
+// Guards against records of another epoch, another order or another target that count for the order.
+TEST_CASE_METHOD(fleet_fixture, "record, of another epoch or order, doesn't count", "[rollouts]")
+{
+    start(1);
+    order(0, 1, 12);
+    records(0, 0, 50, {recordOf(12, rollout_phase::rolled_back)});
+    CHECK(usesNewVersion(0));
+    records(0, 1, 20, {recordOf(12, rollout_phase::rolled_back, "v7"), recordOf(11, rollout_phase::rolled_back)});
+    CHECK(usesNewVersion(0));
+    order(0, 2, 12, "v3");
+    records(0, 3, 20, {recordOf(14, rollout_phase::completed, "v3")});
+    CHECK(policy(0).rule(service_id("model"), {}).allows("v1"));
+    order(0, 3, 14, "v3");
+    CHECK_FALSE(policy(0).rule(service_id("model"), {}).allows("v1"));
+}
+
+// Guards against an append that is tried again for ever at the position that was refused.
+TEST_CASE_METHOD(fleet_fixture, "record, refused, is appended at the newest end that was read", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30);
+    records(0, 0, 5);
+    run(std::chrono::seconds(1));
+    REQUIRE(!m_sent.empty());
+    CHECK(m_sent.back().expectedEnd == 5);
+    collect(0, m_vms[0]->core->handle(rollout_record_refused{m_sent.back().record}));
+    records(0, 0, 9);
+    const std::size_t sent = m_sent.size();
+    run(std::chrono::seconds(1));
+    REQUIRE(m_sent.size() > sent);
+    CHECK(m_sent[sent].expectedEnd == 9);
+}
