Exchange evidence of versions by order and epoch

Callers would get a bad version for longer: after a restore, the counts of an order at a lower position were dropped as old, those of the order before counted for a new one at the same position, and VMs that know the order at different positions ignored each other's counts.

Cause: version_evidence names the order by its position only, and a VM's newest entry is the one with the highest position.

Evidence: the four tests of rollouts_plugin_test "VMs in different epochs", "knows the order of the new epoch only", "new order at a lower position" and "of the order before the restore" failed before.

When an order continues, its entries take the new number; they are sent once more, also to VMs that started after the restore. Entries from VMs that haven't read the new epoch yet are translated on receipt, and early ones are kept until the order is read here.

--- a/src/plugins/rollouts/evidence_exchange.h
+++ b/src/plugins/rollouts/evidence_exchange.h
@@ -5,10 +5,15 @@
 
 #include <map>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace crocuslane {
 
+/// Identifies an order in version_evidence::orderPosition: its position and the epoch of the log, so that an order of a
+/// later epoch is the newer one. Equal to the position in epoch 0.
+std::uint64_t evidenceOrder(const rollout_order &order);
+
 /// Distributes the evidence of all entry VMs over the peer connections: each VM sends a peer the entries that the peer
 /// is not known to have, its own and those of others.
 class evidence_exchange
@@ -21,10 +26,13 @@
     void connected(const vm_id &peer);
     /// Sends each of @p peers what it doesn't have.
     void runRound(const std::vector<vm_id> &peers, action_list &actions);
-    /// Entries of one order.
-    std::vector<version_evidence> entriesOf(const service_id &service, std::uint64_t orderPosition) const;
-    /// Removes the entries of the orders before @p orderPosition.
-    void removeBefore(const service_id &service, std::uint64_t orderPosition);
+    /// Entries of one order; @p order is an evidenceOrder().
+    std::vector<version_evidence> entriesOf(const service_id &service, std::uint64_t order) const;
+    /// Removes the entries of the orders before @p order.
+    void removeBefore(const service_id &service, std::uint64_t order);
+    /// Makes the entries of @p from, also those that are received later, entries of @p to: the same order in a later
+    /// epoch.
+    void continueOrder(const service_id &service, std::uint64_t from, std::uint64_t to);
 
 private:
     struct key {
@@ -47,10 +55,13 @@
         }
     };
 
+    version_evidence continued(version_evidence entry) const;
     static key keyOf(const version_evidence &entry);
     static entry_version versionOf(const version_evidence &entry);
 
     std::map<key, version_evidence> m_entries;
+    /// Orders that continue in a later epoch, by service and earlier evidenceOrder().
+    std::map<std::pair<service_id, std::uint64_t>, std::uint64_t> m_continued;
     /// The newest versions that each peer is known to have.
     std::map<vm_id, std::map<key, entry_version>> m_versionsByPeer;
 };
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -149,7 +149,9 @@
                                         {"position", std::to_string(order.position)},
                                         {"was", std::to_string(continued.order().position)},
                                         {"epoch", std::to_string(order.epoch)}}});
+        m_evidence.continueOrder(order.service, evidenceOrder(continued.order()), evidenceOrder(order));
         continued.continueAt(order, now());
+        applyKnownEvidence(continued);
         applyKnownRecord(continued);
     }
 
@@ -163,13 +165,23 @@
                                        {{"service", order.service.value()},
                                         {"target", order.target},
                                         {"position", std::to_string(order.position)}}});
-        m_evidence.removeBefore(order.service, order.position);
-        for (const version_evidence &entry : m_evidence.entriesOf(order.service, order.position)) {
-            added.addEvidence(entry);
-        }
+        m_evidence.removeBefore(order.service, evidenceOrder(order));
+        applyKnownEvidence(added);
         applyKnownRecord(added);
     }
 
+    /// Applies what other VMs observed and was received before the order.
+    void applyKnownEvidence(rollout &target)
+    {
+        for (const version_evidence &entry :
+             m_evidence.entriesOf(target.order().service, evidenceOrder(target.order()))) {
+            const bool isOwn = entry.vm == m_context->node.id && entry.incarnation == m_context->node.incarnation;
+            if (!isOwn) {
+                target.addEvidence(entry);
+            }
+        }
+    }
+
     /// Applies the record of a roll-out that was read before its order.
     void applyKnownRecord(rollout &target)
     {
@@ -227,7 +239,7 @@
     {
         for (const version_evidence &entry : m_evidence.receive(peer, list)) {
             const auto found = m_rollouts.find(entry.service);
-            if (found != m_rollouts.end() && found->second.order().position == entry.orderPosition) {
+            if (found != m_rollouts.end() && evidenceOrder(found->second.order()) == entry.orderPosition) {
                 found->second.addEvidence(entry);
             }
         }
@@ -247,7 +259,7 @@
                                   m_context->node.incarnation,
                                   each.newObservations(),
                                   service,
-                                  each.order().position,
+                                  evidenceOrder(each.order()),
                                   each.ownCounts()});
             }
         }
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -447,3 +447,85 @@
     REQUIRE(m_sent.size() > sent);
     CHECK(m_sent[sent].expectedEnd == 9);
 }
+
+// Guards against failures that are forgotten because VMs notice a restore at different times.
+TEST_CASE_METHOD(fleet_fixture, "evidence, VMs in different epochs, counts once both have read the order", "[rollouts]")
+{
+    start(12);
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 0, 30);
+        observe(vm, "v1", 5, false);
+    }
+    order(0, 1, 12);
+    observe(0, "v2", 2, true);
+    observe(1, "v2", 2, true);
+    run(std::chrono::seconds(2));
+    CHECK_FALSE(usesNewVersion(0));
+    for (std::size_t vm = 1; vm < 12; ++vm) {
+        order(vm, 1, 12);
+    }
+    run(std::chrono::seconds(2));
+    CHECK(vmsWithoutNewVersion() == 12);
+}
+
+// Guards against a VM that starts after a restore and sends requests to a version that the others know to be bad.
+TEST_CASE_METHOD(fleet_fixture, "evidence, VM knows the order of the new epoch only, counts", "[rollouts]")
+{
+    start(12);
+    for (std::size_t vm = 0; vm < 11; ++vm) {
+        order(vm, 0, 30);
+        observe(vm, "v1", 5, false);
+    }
+    observe(0, "v2", 4, true);
+    run(std::chrono::seconds(2));
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 1, 12);
+    }
+    CHECK(usesNewVersion(11));
+    run(std::chrono::seconds(2));
+    CHECK_FALSE(usesNewVersion(11));
+}
+
+// Guards against evidence that is lost because the position of a new order is lower than that of the order before.
+TEST_CASE_METHOD(fleet_fixture, "evidence, new order at a lower position, is exchanged", "[rollouts]")
+{
+    start(12);
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 0, 30);
+    }
+    observe(0, "v2", 2, false);
+    run(std::chrono::seconds(1));
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 1, 12, "v3");
+        observe(vm, "v1", 5, false);
+    }
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        observe(vm, "v3", 1, true);
+    }
+    run(std::chrono::seconds(2));
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        CHECK_FALSE(usesNewVersion(vm, "v3"));
+    }
+}
+
+// Guards against evidence of a bad version that clears or condemns the next order, and against messages without end.
+TEST_CASE_METHOD(fleet_fixture, "evidence, of the order before the restore, doesn't count for a new one", "[rollouts]")
+{
+    start(12);
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 0, 30);
+        observe(vm, "v1", 5, false);
+    }
+    observe(0, "v2", 4, true);
+    run(std::chrono::seconds(1));
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        order(vm, 1, 30, "v3");
+    }
+    run(std::chrono::seconds(2));
+    for (std::size_t vm = 0; vm < 12; ++vm) {
+        CHECK(usesNewVersion(vm, "v3"));
+    }
+    const std::size_t sent = m_messageCount;
+    run(std::chrono::seconds(3));
+    CHECK(m_messageCount == sent);
+}
