Recognise the order before the current one in a restored log

Callers would get a version again that had been rolled back: when the current order is lost, the restored log has the one before it as the newest, and the current one is written again later. Both began anew.

Cause: any order of a later epoch that differs from the known one was taken for a new one, and what was known was dropped.

Evidence: in rollouts_plugin_test "restored log has the one before it", "read again after another one" and "an earlier issue of it" failed before.

Why it works: each VM remembers the last 8 orders of a service that were followed by another one in their epoch; such an order as the first one of a later epoch is the older copy's and is ignored. A VM that doesn't know it, because it started later, takes it for a new one, but keeps the roll-out that it replaces and continues that when its order comes again.

--- a/src/plugins/rollouts/rollout.cpp
+++ b/src/plugins/rollouts/rollout.cpp
@@ -55,10 +55,9 @@
     return m_order;
 }
 
-bool rollout::isSameOrder(const rollout_order &order) const
+bool rollout::isSameOrder(const rollout_order &left, const rollout_order &right)
 {
-    return std::tie(m_order.service, m_order.target, m_order.limit)
-        == std::tie(order.service, order.target, order.limit);
+    return std::tie(left.service, left.target, left.limit) == std::tie(right.service, right.target, right.limit);
 }
 
 void rollout::continueAt(const rollout_order &order, steady_time now)
--- a/src/plugins/rollouts/rollout.h
+++ b/src/plugins/rollouts/rollout.h
@@ -16,8 +16,8 @@
     rollout(rollout_order order, const rollout_settings &settings, random_source &random, steady_time now);
 
     const rollout_order &order() const;
-    /// Whether @p order, of a later epoch of the log, is this one: the same target and time limit.
-    bool isSameOrder(const rollout_order &order) const;
+    /// Whether two orders of different epochs of the log are the same one: the same service, target and time limit.
+    static bool isSameOrder(const rollout_order &left, const rollout_order &right);
     /// Adopts the position of the order in a later epoch. Phase, evidence and times stay; no record of that epoch is
     /// known.
     void continueAt(const rollout_order &order, steady_time now);
--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <tuple>
@@ -17,6 +18,7 @@
 
 constexpr std::chrono::milliseconds checkInterval{100};
 constexpr std::chrono::milliseconds exchangeInterval{300};
+constexpr std::size_t maximumSuperseded = 8;
 
 } // namespace
 
@@ -125,12 +127,65 @@
         if (found != m_rollouts.end() && !isNewer(order, found->second.order())) {
             return;
         }
-        if (found != m_rollouts.end() && found->second.order().epoch < order.epoch
-            && found->second.isSameOrder(order)) {
-            continueOrder(found->second, order, actions);
+        if (found == m_rollouts.end()) {
+            begin(order, actions);
+        } else if (found->second.order().epoch < order.epoch) {
+            applyRestoredOrder(found->second, order, actions);
+        } else {
+            addSuperseded(found->second.order());
+            if (!resumeReplaced(order, actions)) {
+                begin(order, actions);
+            }
+        }
+    }
+
+    /// @p order is the first one of its service in a later epoch than that of @p known.
+    void applyRestoredOrder(rollout &known, const rollout_order &order, action_list &actions)
+    {
+        const bool isSame = rollout::isSameOrder(known.order(), order);
+        if (isSuperseded(order, isSame)) {
             return;
         }
-        begin(order, actions);
+        if (isSame) {
+            continueOrder(known, order, actions);
+        } else {
+            // A VM that doesn't know the order before its own can't tell it from a new one. Its own comes again then.
+            m_replaced.erase(order.service);
+            m_replaced.insert(m_rollouts.extract(order.service));
+            begin(order, actions);
+        }
+    }
+
+    /// Continues the roll-out that an order of the present epoch replaced, if @p order is its order.
+    bool resumeReplaced(const rollout_order &order, action_list &actions)
+    {
+        const auto found = m_replaced.find(order.service);
+        if (found == m_replaced.end() || !rollout::isSameOrder(found->second.order(), order)) {
+            return false;
+        }
+        m_rollouts.erase(order.service);
+        m_rollouts.insert(m_replaced.extract(found));
+        continueOrder(m_rollouts.at(order.service), order, actions);
+        return true;
+    }
+
+    void addSuperseded(const rollout_order &order)
+    {
+        std::deque<rollout_order> &orders = m_superseded[order.service];
+        orders.push_back(order);
+        if (orders.size() > maximumSuperseded) {
+            orders.pop_front();
+        }
+    }
+
+    /// Whether an equal order, at the same position if @p needsPosition, was followed by a later one in its epoch.
+    bool isSuperseded(const rollout_order &order, bool needsPosition) const
+    {
+        const auto found = m_superseded.find(order.service);
+        return found != m_superseded.end()
+            && std::any_of(found->second.begin(), found->second.end(), [&](const rollout_order &each) {
+                   return rollout::isSameOrder(each, order) && (!needsPosition || each.position == order.position);
+               });
     }
 
     /// Positions of different epochs can't be compared.
@@ -313,6 +368,10 @@
     plugin_context *m_context = nullptr;
     rollout_settings m_settings;
     std::map<service_id, rollout> m_rollouts;
+    /// Replaced by an order of a later epoch.
+    std::map<service_id, rollout> m_replaced;
+    /// Orders that were followed by another one in the same epoch, the newest ones of each service.
+    std::map<service_id, std::deque<rollout_order>> m_superseded;
     std::map<service_id, rollout_record> m_records;
     std::vector<backend_entry> m_backends;
     log_offset m_recordsEnd = 0;
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -529,3 +529,52 @@
     run(std::chrono::seconds(3));
     CHECK(m_messageCount == sent);
 }
+
+// Guards against going back to the order before the current one, which the older copy of the log has as the newest.
+TEST_CASE_METHOD(fleet_fixture, "order, restored log has the one before it, is kept", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 10);
+    order(0, 0, 30, "v3");
+    records(0, 0, 50, {recordOf(30, rollout_phase::rolled_back, "v3")});
+    CHECK(order(0, 1, 10).empty());
+    CHECK_FALSE(usesNewVersion(0, "v3"));
+    CHECK_FALSE(all<log_decision>(order(0, 1, 12, "v3")).empty());
+    CHECK_FALSE(usesNewVersion(0, "v3"));
+    order(0, 1, 14);
+    CHECK(usesNewVersion(0, "v2"));
+}
+
+// Guards against a version that was rolled back and gets requests again, after this VM has read an earlier order that
+// it had not known.
+TEST_CASE_METHOD(fleet_fixture, "order, read again after another one, keeps its phase", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 30, "v3");
+    records(0, 0, 50, {recordOf(30, rollout_phase::rolled_back, "v3")});
+    order(0, 1, 10);
+    records(0, 1, 20);
+    CHECK(usesNewVersion(0, "v2"));
+    order(0, 1, 12, "v3");
+    CHECK_FALSE(usesNewVersion(0, "v3"));
+    m_sent.clear();
+    run(std::chrono::seconds(1));
+    REQUIRE(!m_sent.empty());
+    CHECK(m_sent[0].record.target == "v3");
+    CHECK(m_sent[0].record.phase == rollout_phase::rolled_back);
+    CHECK(m_sent[0].record.orderPosition == 12);
+    order(0, 1, 15, "v3");
+    CHECK(usesNewVersion(0, "v3"));
+}
+
+// Guards against a repeated order that starts anew, because the older copy of the log has its first issue.
+TEST_CASE_METHOD(fleet_fixture, "order, restored log has an earlier issue of it, is kept", "[rollouts]")
+{
+    start(1);
+    order(0, 0, 10);
+    order(0, 0, 30);
+    records(0, 0, 50, {recordOf(30, rollout_phase::rolled_back)});
+    CHECK(order(0, 1, 10).empty());
+    order(0, 1, 12);
+    CHECK_FALSE(usesNewVersion(0));
+}
