Count requests at runners that the restored list lacks

Callers' requests were cut off: a VM recorded the completion of a roll-out, at which the old runners stop, while it had requests at old runners that were missing in the list for a moment. That is so after a restore, for runners that started in the lost span, and when entries expire in an outage.

Cause: the plug-in looked up the versions of runners in the newest list only, while the table of runners keeps those that are missing for a while.

Evidence: "completion, busy old runner is missing in the list, waits" in rollouts_plugin_test failed before.

Why it works: the version of a missing runner is kept as long as the table of runners has it.

--- a/src/plugins/rollouts/rollouts_plugin.cpp
+++ b/src/plugins/rollouts/rollouts_plugin.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <tuple>
 
 namespace crocuslane {
@@ -53,7 +54,7 @@
                 found->second.postpone(now());
             }
         } else if (const auto *list = std::get_if<backend_list_read>(&event)) {
-            m_backends = list->entries;
+            setListed(list->entries);
         } else if (const auto *received = std::get_if<peer_message_received>(&event)) {
             if (const auto *evidence = std::get_if<version_evidence_list>(&received->message)) {
                 applyEvidence(received->peer, *evidence);
@@ -349,6 +350,22 @@
         }
     }
 
+    /// A runner that is missing in the list remains known while the plug-in that selects runners keeps it.
+    void setListed(const std::vector<backend_entry> &entries)
+    {
+        std::set<runner_id> kept;
+        if (const auto *exchange = m_context->services.tryFind<runner_use_exchange>()) {
+            for (const runner_use &use : exchange->localUse()) {
+                kept.insert(use.runner);
+            }
+        }
+        for (const backend_entry &entry : entries) {
+            kept.erase(entry.id);
+        }
+        std::erase_if(m_backends, [&kept](const backend_entry &known) { return !kept.contains(known.id); });
+        m_backends.insert(m_backends.end(), entries.begin(), entries.end());
+    }
+
     /// True when this VM has no request in progress at a runner of another version than the target.
     bool isOldVersionIdle(const rollout_order &order) const
     {
--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -3,6 +3,7 @@
 #include "plugins/rollouts/rollout_settings.h"
 #include "services/member_view.h"
 #include "services/rollout_policy.h"
+#include "services/runner_use_exchange.h"
 #include "support/action_queries.h"
 
 #include <catch2/catch.hpp>
@@ -62,6 +63,24 @@
     std::vector<vm_entry> m_backendServers;
 };
 
+/// Uses of runners by this VM, as the plug-in backends reports them.
+class fixed_use : public runner_use_exchange
+{
+public:
+    std::vector<runner_use> uses;
+
+    std::vector<runner_use> localUse() const override
+    {
+        return uses;
+    }
+    void setRemoteUse(const vm_id & /*vm*/, const std::vector<runner_use> & /*use*/) override
+    {
+    }
+    void removeRemote(const vm_id & /*vm*/) override
+    {
+    }
+};
+
 /// Entry VMs in a ring with connections across it; messages take 50 ms.
 class fleet_fixture
 {
@@ -578,3 +597,33 @@
     order(0, 1, 12);
     CHECK_FALSE(usesNewVersion(0));
 }
+
+// Guards against a completion, at which the old runners stop, while a request is at a runner that the older copy of the
+// log lacks or whose entry has expired.
+TEST_CASE_METHOD(fleet_fixture, "completion, busy old runner is missing in the list, waits", "[rollouts]")
+{
+    start(1);
+    fixed_use use;
+    use.uses = {{runner_id("old"), 1, false}, {runner_id("new"), 0, false}};
+    m_vms[0]->core->services().offer<runner_use_exchange>(use);
+    backend_entry oldRunner;
+    oldRunner.id = runner_id("old");
+    oldRunner.service = service_id("model");
+    oldRunner.version = "v1";
+    backend_entry newRunner = oldRunner;
+    newRunner.id = runner_id("new");
+    newRunner.version = "v2";
+    order(0, 0, 30);
+    m_vms[0]->core->handle(backend_list_read{{oldRunner, newRunner}});
+    run(std::chrono::milliseconds(11'500));
+    records(0, 0, 50, {recordOf(30, rollout_phase::cutover)});
+    observe(0, "v2", 12, false);
+    m_vms[0]->core->handle(backend_list_read{{newRunner}});
+    m_vms[0]->core->handle(backend_list_read{{newRunner}});
+    m_recorded.clear();
+    run(std::chrono::milliseconds(3500));
+    CHECK_FALSE(isRecorded(rollout_phase::completed));
+    use.uses = {{runner_id("new"), 0, false}};
+    run(std::chrono::milliseconds(1000));
+    CHECK(isRecorded(rollout_phase::completed));
+}
