--- a/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
+++ b/src/plugins/rollouts/tests/rollouts_plugin_test.cpp
@@ -393,6 +393,32 @@
     CHECK(m_sent.size() == sent);
 }
 
+// Guards against an append of each VM at the moment at which all have read the restored log.
+TEST_CASE_METHOD(fleet_fixture, "record, lost in a restore, is appended by few of the VMs", "[rollouts]")
+{
+    start(24);
+    for (std::size_t vm = 0; vm < 24; ++vm) {
+        order(vm, 0, 30);
+        records(vm, 0, 50, {recordOf(30, rollout_phase::rolled_back)});
+    }
+    run(std::chrono::seconds(2));
+    for (std::size_t vm = 0; vm < 24; ++vm) {
+        order(vm, 1, 12);
+    }
+    run(std::chrono::seconds(2));
+    for (std::size_t vm = 0; vm < 24; ++vm) {
+        records(vm, 1, 20);
+    }
+    while (m_sent.empty()) {
+        run(std::chrono::milliseconds(50));
+    }
+    for (std::size_t vm = 0; vm < 24; ++vm) {
+        records(vm, 1, 21, {recordOf(12, rollout_phase::rolled_back)});
+    }
+    run(std::chrono::seconds(3));
+    CHECK(m_sent.size() <= 8);
+}
+
 // Guards against records of the earlier log's end: such an append is refused, or replaces another VM's record.
 TEST_CASE_METHOD(fleet_fixture, "record, order not yet read in the new epoch, is not appended", "[rollouts]")
 {
@@ -487,6 +513,19 @@
     CHECK(vmsWithoutNewVersion() == 12);
 }
 
+// Guards against evidence that is lost because one VM has read two restores and another one has read none.
+TEST_CASE_METHOD(fleet_fixture, "evidence, VMs two epochs apart, counts", "[rollouts]")
+{
+    start(12);
+    order(0, 0, 30);
+    observe(0, "v1", 20, false);
+    order(0, 1, 12);
+    order(0, 2, 11);
+    const version_evidence entry{vm_id("vm-9"), 1, 4, service_id("model"), 30, {{1, {4, 4, {}}, {}}}};
+    m_vms[0]->core->handle(peer_message_received{vm_id("vm-9"), version_evidence_list{{entry}}});
+    CHECK_FALSE(usesNewVersion(0));
+}
+
 // Guards against a VM that starts after a restore and sends requests to a version that the others know to be bad.
 TEST_CASE_METHOD(fleet_fixture, "evidence, VM knows the order of the new epoch only, counts", "[rollouts]")
 {
