Remove missing runners in time when the restored list has them

Callers' requests went on to runners that had left: one whose entry was found missing while the list was disturbed is kept for a while, and an older copy that lists it again ended that time limit.

Cause: any listing of a missing runner counted as its return.

Why it works: for a missing runner the entries of a later epoch are judged as for a gone one: it has to report again. Until then it is used, and removed at the later of both lists' time limits. A runner that was missing in the same epoch returns by any entry, as before.

--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -61,15 +61,10 @@
     for (const backend_entry &entry : list.entries) {
         listed.insert(entry.id);
         if (isStale(entry, list.epoch, isFirstOfEpoch, log)) {
-            continue;
-        }
-        const auto found = m_backends.find(entry.id);
-        if (found == m_backends.end()) {
-            add(entry, log);
+            keepMissing(entry.id, list.removalsIgnoredUntil);
         } else {
-            update(found->second, entry, log);
+            addOrUpdate(entry, list.epoch, log);
         }
-        m_backends[entry.id].history.replaced(list.epoch);
     }
     for (auto &[id, record] : m_backends) {
         if (listed.contains(id) || record.removeAt) {
@@ -77,22 +72,48 @@
         }
         const bool isReady = record.entry.condition == backend_condition::ready;
         record.removeAt = isReady ? std::max(now, list.removalsIgnoredUntil) : now;
+        record.history.replaced(list.epoch);
     }
     expire(now, log);
 }
 
+entry_history::age
+backend_table::ageOf(backend_record &record, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch)
+{
+    return record.removeAt ? record.history.compareWithGone(record.entry, listed, epoch, isFirstOfEpoch)
+                           : record.history.compare(record.entry, listed, epoch);
+}
+
 bool backend_table::isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log)
 {
     const auto found = m_backends.find(entry.id);
-    const entry_history::age age = found == m_backends.end()
-        ? m_gone.compare(entry, epoch, isFirstOfEpoch)
-        : found->second.history.compare(found->second.entry, entry, epoch);
+    const entry_history::age age = found == m_backends.end() ? m_gone.compare(entry, epoch, isFirstOfEpoch)
+                                                             : ageOf(found->second, entry, epoch, isFirstOfEpoch);
     if (age == entry_history::age::first_stale) {
         log.push_back(runnerLogEntry("runner_entry_stale", entry));
     }
     return age != entry_history::age::newer;
 }
 
+// A runner that lives reports again within that time.
+void backend_table::keepMissing(const runner_id &runner, steady_time until)
+{
+    backend_record *record = find(runner);
+    if (record != nullptr && record->removeAt) {
+        record->removeAt = std::max(*record->removeAt, until);
+    }
+}
+
+void backend_table::addOrUpdate(const backend_entry &entry, log_epoch epoch, action_list &log)
+{
+    if (backend_record *record = find(entry.id)) {
+        update(*record, entry, log);
+    } else {
+        add(entry, log);
+    }
+    m_backends[entry.id].history.replaced(epoch);
+}
+
 void backend_table::add(const backend_entry &entry, action_list &log)
 {
     m_gone.remove(entry.id);
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -82,8 +82,13 @@
     std::unordered_map<runner_id, backend_record> &backends();
 
 private:
+    static entry_history::age
+    ageOf(backend_record &record, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch);
     /// Whether a newer entry is known of the runner.
     bool isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log);
+    /// Keeps a runner that is missing until that time at least.
+    void keepMissing(const runner_id &runner, steady_time until);
+    void addOrUpdate(const backend_entry &entry, log_epoch epoch, action_list &log);
     void update(backend_record &record, const backend_entry &entry, action_list &log);
     void add(const backend_entry &entry, action_list &log);
 
--- a/src/plugins/backends/entry_history.h
+++ b/src/plugins/backends/entry_history.h
@@ -26,7 +26,7 @@
     /// As compare(), for a runner that is no longer listed. In the first list of an epoch (@p isFirstOfEpoch), a later
     /// sequence doesn't show that the runner lives: it may have reported between the known entry and its end.
     age compareWithGone(const backend_entry &known, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch);
-    /// Records that an entry of @p epoch has become the newest one.
+    /// Records that an entry of @p epoch has become the newest one, or that the runner was missing in that epoch.
     void replaced(log_epoch epoch);
 
 private:
--- a/src/plugins/backends/tests/backend_table_test.cpp
+++ b/src/plugins/backends/tests/backend_table_test.cpp
@@ -255,6 +255,58 @@
     CHECK(m_table.find(runner_id("runner 0")) != nullptr);
 }
 
+// Guards against a runner that stays in use because the older copy lists it again, after its entry was found missing
+// while the list was disturbed.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "missing runner, restored list has it, is removed in time unless it reports again",
+                 "[backends]")
+{
+    const bool reportsAgain = GENERATE(false, true);
+    listIn(0, {report(5)});
+    list({}, std::chrono::milliseconds(2500));
+    listIn(1, {report(5)});
+    CHECK(usable() == 1);
+    if (reportsAgain) {
+        listIn(1, {report(6)});
+    }
+    m_clock.advance(std::chrono::milliseconds(2600));
+    m_table.expire(m_clock.steadyNow(), m_log);
+    CHECK(usable() == (reportsAgain ? 1 : 0));
+}
+
+// Guards against the removal of all runners that were missing when the store was restored, before they can report
+// again.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "missing runner, restored list has it, gets the grace time of the restored list",
+                 "[backends]")
+{
+    listIn(0, {report(5)});
+    list({}, std::chrono::milliseconds(2500));
+    m_clock.advance(std::chrono::milliseconds(2000));
+    m_table.applyList(
+        {{report(5)}, m_clock.steadyNow() + std::chrono::milliseconds(2500), 1}, m_clock.steadyNow(), m_log);
+    m_clock.advance(std::chrono::milliseconds(2400));
+    m_table.expire(m_clock.steadyNow(), m_log);
+    CHECK(usable() == 1);
+    m_clock.advance(std::chrono::milliseconds(200));
+    m_table.expire(m_clock.steadyNow(), m_log);
+    CHECK(usable() == 0);
+}
+
+// Guards against the removal of a runner that the older copy lacks and that reports again, without a sequence.
+TEST_CASE_METHOD(backend_table_fixture,
+                 "missing runner, listed again in the epoch in which it was missing, is kept",
+                 "[backends]")
+{
+    listIn(0, {report(0)});
+    m_table.applyList({{}, m_clock.steadyNow() + std::chrono::milliseconds(2500), 1}, m_clock.steadyNow(), m_log);
+    listIn(1, {report(0)});
+    m_clock.advance(std::chrono::milliseconds(2600));
+    m_table.expire(m_clock.steadyNow(), m_log);
+    CHECK(usable() == 1);
+    CHECK(staleLogEntries() == 0);
+}
+
 // Guards against requests to the process before a restart, which the older copy of the list names.
 TEST_CASE_METHOD(backend_table_fixture,
                  "restarted runner, restored list has the earlier process, keeps the newer one",
