--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -54,14 +54,16 @@
 
 void backend_table::applyList(const backend_list_read &list, steady_time now, action_list &log)
 {
+    const bool isFirstOfEpoch = list.epoch != m_epoch;
+    m_epoch = list.epoch;
+    m_gone.expire(now);
     std::set<runner_id> listed;
     for (const backend_entry &entry : list.entries) {
         listed.insert(entry.id);
-        const auto found = m_backends.find(entry.id);
-        if (found == m_backends.end()) {
-            add(entry, log);
+        if (isStale(entry, list.epoch, isFirstOfEpoch, log)) {
+            keepMissing(entry.id, list.removalsIgnoredUntil);
         } else {
-            update(found->second, entry, log);
+            addOrUpdate(entry, list.epoch, log);
         }
     }
     for (auto &[id, record] : m_backends) {
@@ -70,12 +72,51 @@
         }
         const bool isReady = record.entry.condition == backend_condition::ready;
         record.removeAt = isReady ? std::max(now, list.removalsIgnoredUntil) : now;
+        record.history.replaced(list.epoch);
     }
     expire(now, log);
 }
 
+entry_history::age
+backend_table::ageOf(backend_record &record, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch)
+{
+    return record.removeAt ? record.history.compareWithGone(record.entry, listed, epoch, isFirstOfEpoch)
+                           : record.history.compare(record.entry, listed, epoch);
+}
+
+bool backend_table::isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log)
+{
+    const auto found = m_backends.find(entry.id);
+    const entry_history::age age = found == m_backends.end() ? m_gone.compare(entry, epoch, isFirstOfEpoch)
+                                                             : ageOf(found->second, entry, epoch, isFirstOfEpoch);
+    if (age == entry_history::age::first_stale) {
+        log.push_back(runnerLogEntry("runner_entry_stale", entry));
+    }
+    return age != entry_history::age::newer;
+}
+
+// A runner that lives reports again within that time.
+void backend_table::keepMissing(const runner_id &runner, steady_time until)
+{
+    backend_record *record = find(runner);
+    if (record != nullptr && record->removeAt) {
+        record->removeAt = std::max(*record->removeAt, until);
+    }
+}
+
+void backend_table::addOrUpdate(const backend_entry &entry, log_epoch epoch, action_list &log)
+{
+    if (backend_record *record = find(entry.id)) {
+        update(*record, entry, log);
+    } else {
+        add(entry, log);
+    }
+    m_backends[entry.id].history.replaced(epoch);
+}
+
 void backend_table::add(const backend_entry &entry, action_list &log)
 {
+    m_gone.remove(entry.id);
     m_backends[entry.id].entry = entry;
     log.push_back(runnerLogEntry("runner_listed", entry));
 }
@@ -94,7 +135,10 @@
     const bool hasChanged = isRestart || entry.condition != record.entry.condition
         || entry.address != record.entry.address || entry.version != record.entry.version
         || entry.service != record.entry.service;
+    const std::uint64_t newestSequence = isRestart ? 0 : record.entry.sequence;
     record.entry = entry;
+    // An older copy of the log may list an earlier report of the same process.
+    record.entry.sequence = std::max(entry.sequence, newestSequence);
     if (hasChanged) {
         log.push_back(runnerLogEntry("runner_changed", entry));
     }
@@ -107,6 +151,7 @@
         if (!record.removeAt || now < *record.removeAt) {
             return false;
         }
+        m_gone.add(record.entry, m_epoch, now);
         log.push_back(runnerLogEntry("runner_gone", record.entry));
         return true;
     });
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -2,7 +2,9 @@
 
 #include "kernel/action.h"
 #include "kernel/event.h"
+#include "plugins/backends/entry_history.h"
 #include "plugins/backends/failure_record.h"
+#include "plugins/backends/gone_runners.h"
 #include "plugins/backends/prompt_cache.h"
 
 #include <map>
@@ -27,6 +29,7 @@
 /// One runner with its load, failures and cached prompts as observed by this VM.
 struct backend_record {
     backend_entry entry;
+    entry_history history;
     /// Set when the runner is missing from the list: it is removed at this time unless it is listed again.
     std::optional<steady_time> removeAt;
     /// Requests of this VM in progress.
@@ -56,7 +59,8 @@
 {
 public:
     /// Applies a new list and adds to @p log an entry for each runner that was added, changed or removed. A ready
-    /// runner that is missing is kept until list.removalsIgnoredUntil; a leaving one is removed at once.
+    /// runner that is missing is kept until list.removalsIgnoredUntil; a leaving one is removed at once. Entries from
+    /// an older copy of the platform's log are ignored where a newer one is known.
     void applyList(const backend_list_read &list, steady_time now, action_list &log);
     /// Removes the missing runners whose removal time has passed.
     void expire(steady_time now, action_list &log);
@@ -78,10 +82,20 @@
     std::unordered_map<runner_id, backend_record> &backends();
 
 private:
+    static entry_history::age
+    ageOf(backend_record &record, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch);
+    /// Whether a newer entry is known of the runner.
+    bool isStale(const backend_entry &entry, log_epoch epoch, bool isFirstOfEpoch, action_list &log);
+    /// Keeps a runner that is missing until that time at least.
+    void keepMissing(const runner_id &runner, steady_time until);
+    void addOrUpdate(const backend_entry &entry, log_epoch epoch, action_list &log);
     void update(backend_record &record, const backend_entry &entry, action_list &log);
     void add(const backend_entry &entry, action_list &log);
 
     std::unordered_map<runner_id, backend_record> m_backends;
+    gone_runners m_gone;
+    /// Of the newest list.
+    log_epoch m_epoch = 0;
     std::unordered_map<attempt_number, attempt_load> m_attempts;
 };
 
