--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -158,7 +158,7 @@
     /// The highest counter of an incarnation is the newest.
     std::uint64_t counter = 0;
     service_id service;
-    /// rollout_order::position
+    /// Identifies the order: its position, and the epoch of the log that the position belongs to.
     std::uint64_t orderPosition = 0;
     std::vector<route_counts> routes;
 };
