--- a/src/libs/base/tests/logger_test.cpp
+++ b/src/libs/base/tests/logger_test.cpp
@@ -1,12 +1,9 @@
 #include "base/logger.h"
 #include "base/outside_text.h"
+#include "support/output_capture.h"
 
 #include <catch2/catch.hpp>
 
-#include <unistd.h>
-
-#include <array>
-#include <cstdio>
 #include <string>
 
 using namespace crocuslane;
@@ -19,22 +16,11 @@
 /// The line that the logger writes for one field with @p value.
 std::string lineOf(const std::string &value)
 {
-    std::array<int, 2> ends{};
-    REQUIRE(::pipe(ends.data()) == 0);
-    std::fflush(stdout);
-    const int savedOutput = ::dup(STDOUT_FILENO);
-    ::dup2(ends[1], STDOUT_FILENO);
+    output_capture capture;
     manual_clock clock;
     logger log(clock, "test", log_level::info);
     log.write(log_level::info, "line", {{"value", value}});
-    ::dup2(savedOutput, STDOUT_FILENO);
-    ::close(savedOutput);
-    ::close(ends[1]);
-    std::string text(65536, '\0');
-    const ssize_t size = ::read(ends[0], text.data(), text.size());
-    ::close(ends[0]);
-    text.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
-    return text;
+    return capture.finish();
 }
 
 std::string valueIn(const std::string &line)
--- a/src/libs/edge/decision_loop.cpp
+++ b/src/libs/edge/decision_loop.cpp
@@ -23,7 +23,9 @@
             handle(std::move(next));
         }
         isHandling = false;
+        const steady_time flushStart = time.steadyNow();
         host.handleQueueEmpty();
+        work.flushing += time.steadyNow() - flushStart;
         scheduleDeadline();
     }
 
@@ -38,7 +40,10 @@
                 host.observe(next);
                 const steady_time startTime = time.steadyNow();
                 actions = decisions.handle(std::move(next));
-                host.observeStep(time.steadyNow() - startTime);
+                const duration handlingTime = time.steadyNow() - startTime;
+                ++work.events;
+                work.deciding += handlingTime;
+                host.observeStep(handlingTime);
             },
             [this](const char *text) { host.handleException(text); });
         if (!isHandled && !request.isEmpty()) {
@@ -50,9 +55,14 @@
 
     void carryOut(const action_list &actions)
     {
+        if (actions.empty()) {
+            return;
+        }
+        const steady_time startTime = time.steadyNow();
         for (const action &action : actions) {
             callGuarded([&] { host.carryOut(action); }, [this](const char *text) { host.handleException(text); });
         }
+        work.actions += time.steadyNow() - startTime;
     }
 
     void scheduleDeadline()
@@ -85,6 +95,7 @@
     const clock &time;
     std::deque<event> pending = {};
     bool isHandling = false;
+    decision_work work = {};
     std::optional<timer_number> deadlineTimer = {};
     steady_time scheduledDeadline = {};
 };
@@ -119,4 +130,9 @@
     d->isHandling = true;
 }
 
+const decision_work &decision_loop::work() const
+{
+    return d->work;
+}
+
 } // namespace crocuslane
--- a/src/libs/edge/decision_loop.h
+++ b/src/libs/edge/decision_loop.h
@@ -4,6 +4,7 @@
 #include "edge/event_sink.h"
 #include "kernel/action.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -29,6 +30,17 @@
     virtual void handleQueueEmpty() = 0;
 };
 
+/// What a decision_loop has done since its construction.
+struct decision_work {
+    std::uint64_t events = 0;
+    /// Time in the decision code.
+    duration deciding{};
+    /// Time to carry out actions.
+    duration actions{};
+    /// Time in decision_host::handleQueueEmpty().
+    duration flushing{};
+};
+
 /// Delivers events to a kernel one at a time, and a timer_expired event at each of its deadlines.
 class decision_loop : public event_sink
 {
@@ -45,6 +57,7 @@
     void deliver(event event) override;
     /// Ignores all later events.
     void close();
+    const decision_work &work() const;
 
 private:
     struct private_data;
--- a/src/libs/edge/traffic_metrics.cpp
+++ b/src/libs/edge/traffic_metrics.cpp
@@ -124,6 +124,7 @@
     duration_histogram tokenGap{"crocuslane_token_gap_seconds", "Time between two tokens of an answer"};
     duration_histogram requestDuration{"crocuslane_request_seconds", "Time from a request to the end of its answer"};
     duration_histogram step{"crocuslane_decision_step_seconds", "Time to handle one event in the decision code"};
+    duration_histogram loopDelay{"crocuslane_loop_delay_seconds", "How late the event loop calls its timers"};
 };
 
 traffic_metrics::traffic_metrics(const clock &clock)
@@ -166,6 +167,11 @@
     d->step.add(time);
 }
 
+void traffic_metrics::observeLoopDelay(duration delay)
+{
+    d->loopDelay.add(delay);
+}
+
 void traffic_metrics::countException()
 {
     ++d->exceptions;
@@ -199,6 +205,7 @@
     d->tokenGap.write(text);
     d->requestDuration.write(text);
     d->step.write(text);
+    d->loopDelay.write(text);
     return text;
 }
 
--- a/src/libs/edge/traffic_metrics.h
+++ b/src/libs/edge/traffic_metrics.h
@@ -20,6 +20,8 @@
     void observe(const action &action);
     /// Records the time that the decision code took to handle one event.
     void observeStep(duration time);
+    /// Records how late the event loop called a timer.
+    void observeLoopDelay(duration delay);
     /// Counts a message from outside whose handling threw an exception.
     void countException();
     void setPeerBytesSent(std::uint64_t bytes);
