Share the event loop between streams of small events and all others

The events of a block are now delivered together, with one run of the HTTP server, and a transfer whose data use the loop for more than a fifth of the time is paused (work_share).

--- a/src/libs/edge/decision_loop.cpp
+++ b/src/libs/edge/decision_loop.cpp
@@ -124,6 +124,14 @@
     d->handlePending();
 }
 
+void decision_loop::deliverAll(std::vector<event> events)
+{
+    for (event &each : events) {
+        d->pending.push_back(std::move(each));
+    }
+    d->handlePending();
+}
+
 void decision_loop::close()
 {
     // handlePending() does nothing while this is set.
--- a/src/libs/edge/decision_loop.h
+++ b/src/libs/edge/decision_loop.h
@@ -55,6 +55,7 @@
     void begin(const action_list &firstActions);
     /// May be called while actions are carried out; the event is queued and handled after them.
     void deliver(event event) override;
+    void deliverAll(std::vector<event> events) override;
     /// Ignores all later events.
     void close();
     const decision_work &work() const;
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -5,11 +5,13 @@
 #include "net/event_loop.h"
 #include "net/idle_sockets.h"
 #include "net/socket_set.h"
+#include "net/work_share.h"
 
 #include <curl/curl.h>
 
 #include <algorithm>
 #include <cctype>
+#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -25,6 +27,8 @@
 constexpr std::chrono::seconds freshConnectionTime{4};
 // libcurl ends a transfer with an error when a callback returns fewer bytes than it was given.
 constexpr std::size_t abortTransfer = 0;
+// The sockets are served between two paused transfers that go on.
+constexpr std::chrono::milliseconds shortestPause{1};
 constexpr std::string_view statusLinePrefix = "HTTP/";
 // Between the characters of a field name that are neither letters nor digits (RFC 9110, section 5.6.2).
 constexpr std::string_view nameCharacters = "!#$%&'*+-.^_`|~";
@@ -82,6 +86,8 @@
         bool isCancelled = false;
         /// libcurl may read the rest of the answer that has arrived, and so keep the connection.
         bool isDiscarded = false;
+        work_share share;
+        bool isPaused = false;
         steady_time lastProgress;
         std::optional<timer_number> silenceTimer;
         private_data *owner = nullptr;
@@ -154,9 +160,7 @@
 
     void end(CURL *handle, CURLcode code)
     {
-        char *pointer = nullptr;
-        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &pointer);
-        const transfer &ended = *reinterpret_cast<transfer *>(pointer);
+        const transfer &ended = transferOf(handle);
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         transfer_result result = transfer_result::complete;
@@ -278,13 +282,71 @@
         });
     }
 
-    static int
-    socketCallback(CURL * /*handle*/, curl_socket_t socket, int pollEvents, void *self, void * /*socketData*/)
+    /// Keeps the data that follow from the loop until the transfer may use it again.
+    void pause(transfer &paused, duration waitTime)
+    {
+        paused.isPaused = true;
+        pausedTransfers.push_back(paused.number);
+        scheduleResume(waitTime);
+    }
+
+    void scheduleResume(duration waitTime)
+    {
+        if (resumeTimer || pausedTransfers.empty()) {
+            return;
+        }
+        resumeTimer = loop.schedule(std::max<duration>(waitTime, shortestPause), [this] {
+            resumeTimer.reset();
+            resumeNext();
+        });
+    }
+
+    // Transfers go on one at a time, each followed by as much time for the rest of the loop.
+    void resumeNext()
+    {
+        const steady_time start = std::chrono::steady_clock::now();
+        const auto found = transfers.find(pausedTransfers.front());
+        if (found != transfers.end()) {
+            const duration waitTime = found->second->share.waitTime(start);
+            if (waitTime > duration::zero()) {
+                scheduleResume(waitTime);
+                return;
+            }
+        }
+        pausedTransfers.pop_front();
+        if (found != transfers.end()) {
+            resume(*found->second);
+        }
+        scheduleResume(std::chrono::steady_clock::now() - start);
+    }
+
+    void resume(transfer &paused)
+    {
+        const transfer_number number = paused.number;
+        paused.isPaused = false;
+        // libcurl passes on what it has kept, and reports an error of that only by its result.
+        if (curl_easy_pause(paused.handle, CURLPAUSE_CONT) != CURLE_OK) {
+            finish(number, transfer_result::lost, 0);
+        }
+        finishIteration();
+    }
+
+    static transfer &transferOf(CURL *handle)
+    {
+        char *pointer = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &pointer);
+        return *reinterpret_cast<transfer *>(pointer);
+    }
+
+    static int socketCallback(CURL *handle, curl_socket_t socket, int pollEvents, void *self, void * /*socketData*/)
     {
         auto &owner = *static_cast<private_data *>(self);
         if (pollEvents == CURL_POLL_REMOVE) {
             owner.sockets.unwatch(socket);
-            owner.idleSockets.add(socket);
+            // The connection of a paused transfer is in use, although libcurl doesn't watch it.
+            if (!transferOf(handle).isPaused) {
+                owner.idleSockets.add(socket);
+            }
             return 0;
         }
         owner.idleSockets.remove(socket);
@@ -409,6 +471,11 @@
         if (current.isCancelled) {
             return bytesTakenAfterCancel(current, bytes);
         }
+        const steady_time start = std::chrono::steady_clock::now();
+        if (const duration waitTime = current.share.waitTime(start); waitTime > duration::zero()) {
+            current.owner->pause(current, waitTime);
+            return CURL_WRITEFUNC_PAUSE;
+        }
         current.bodyBytes += bytes;
         const std::size_t limit = current.request.maximumBodyBytes;
         if (limit > 0 && current.bodyBytes > limit) {
@@ -416,7 +483,7 @@
         }
         private_data &owner = *current.owner;
         owner.isInCallback = true;
-        current.lastProgress = std::chrono::steady_clock::now();
+        current.lastProgress = start;
         if (!current.hasStatus) {
             current.hasStatus = true;
             long status = 0;
@@ -429,6 +496,7 @@
             current.request.onData({data, bytes});
         }
         owner.isInCallback = false;
+        current.share.use(start, std::chrono::steady_clock::now());
         return current.isCancelled ? bytesTakenAfterCancel(current, bytes) : bytes;
     }
 
@@ -443,6 +511,9 @@
     std::vector<std::unique_ptr<transfer>> cancelledInCallback;
     std::vector<transfer_number> startedInCallback;
     std::optional<timer_number> multiTimer;
+    /// In the order in which they go on.
+    std::deque<transfer_number> pausedTransfers;
+    std::optional<timer_number> resumeTimer;
     /// Addresses that get only new connections until the given time.
     std::map<std::string, steady_time> freshConnectionsUntil;
 };
@@ -466,6 +537,9 @@
 
 http_client::~http_client()
 {
+    if (d->resumeTimer) {
+        d->loop.cancel(*d->resumeTimer);
+    }
     d->applyDeferred();
     while (!d->transfers.empty()) {
         d->cancel(d->transfers.begin()->first);
