--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -42,7 +42,11 @@
     ~endless_server()
     {
         shutdown(m_listener, SHUT_RDWR);
+        if (m_connection >= 0) {
+            shutdown(m_connection, SHUT_RDWR);
+        }
         waitUntilEnded();
+        close(m_connection);
         close(m_listener);
     }
 
@@ -72,6 +76,7 @@
     void serve()
     {
         const int connection = accept(m_listener, nullptr, nullptr);
+        m_connection = connection;
         if (connection < 0) {
             return;
         }
@@ -83,7 +88,7 @@
             }
             m_isClosedByClient = !isOpen;
         }
-        close(connection);
+        shutdown(connection, SHUT_RDWR);
     }
 
     bool sendAll(int connection, const std::string &text)
@@ -101,6 +106,7 @@
     }
 
     int m_listener;
+    std::atomic<int> m_connection{-1};
     std::string m_beginning;
     std::string m_piece;
     std::atomic<std::size_t> m_bytesSent{0};
