Answer all requests before a planned stop ends the process

Callers saw LOST: requests that were at a runner, or came late in the grace, ended with their connection and no answer, among them orders. Cause: new requests were taken for 3 s after SIGTERM whatever grace_s said, retries and queued requests were started until the end, and 0.4 s before it the process ended as it was. Now new requests are taken in the first half of the grace only (3 s at most, as before for the grace of 8 s), what is left is answered 0.4 s before the end (503 not run, 502 may have run), and a request that may not be repeated isn't started when the latest of its route took longer than what is left.

--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -131,6 +131,8 @@
 
 /// Starts a planned stop of the process.
 struct stop_requested {
+    /// Time until all requests need an answer; empty when the stop waits for their ends.
+    std::optional<duration> timeLeft = {};
 };
 
 // Events of forwarded requests.
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds minimumSilenceTimeout{500};
 constexpr std::chrono::milliseconds minimumRetryAfter{300};
 constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
+// Other entry VMs can take the request at once.
+constexpr std::chrono::milliseconds retryAfterWhenStopping{50};
 // A request with an isolated prompt part is refused again until the part is released, which takes half a minute at
 // least.
 constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
@@ -82,6 +84,10 @@
 
 void forward_flow::receive(const forward_request &request, action_list &actions)
 {
+    if (!acceptsRequests()) {
+        actions.push_back(refuse_forward{request.request, refusal_reason::stopping, retryAfterWhenStopping});
+        return;
+    }
     if (!isConfigured() && m_startupQueue.push(request, now())) {
         const bool isRead = m_environment.routes->configuration() != nullptr;
         actions.push_back(log_decision{
@@ -114,7 +120,7 @@
     created.match = std::get<route_match>(found);
     const forward_route &route = created.route();
     const duration requestedTimeout = request.callerTimeout > duration::zero() ? request.callerTimeout : route.timeout;
-    created.deadline = created.arrivedAt + std::min(requestedTimeout, route.timeout);
+    created.deadline = m_stop.limit(created.arrivedAt + std::min(requestedTimeout, route.timeout));
     created.service = chooseService(route, request.session);
     created.engine = findEngine(*created.match.configuration, created.service);
     const bool isModelChosenHere = request.model.empty() && !route.models.empty();
@@ -245,6 +251,9 @@
 
 void forward_flow::startOrWait(active_request &active, action_list &actions)
 {
+    if (refuseIfTooLate(active, actions)) {
+        return;
+    }
     const unsigned priority = active.match.priority();
     if (m_queue.countBefore(active.service.value(), priority) == 0 && tryStart(active, actions)) {
         return;
@@ -496,6 +505,9 @@
         if (!active.hasStreamBegun) {
             actions.push_back(begin_stream{active.request.request, completed.answer});
         }
+        if (!isRepeatable(active.route().kind)) {
+            m_durations.record(active.route().name, now() - active.arrivedAt);
+        }
         actions.push_back(finish_stream{active.request.request});
         finish(active, "answered", actions);
         return;
@@ -506,6 +518,9 @@
         finish(active, "broken_off", actions);
         return;
     }
+    if (!isRepeatable(active.route().kind)) {
+        m_durations.record(active.route().name, now() - active.arrivedAt);
+    }
     actions.push_back(deliver_answer{active.request.request, completed.answer});
     finish(active, "answered", actions);
 }
@@ -568,6 +583,29 @@
     startOrWait(active, actions);
 }
 
+bool forward_flow::refuseIfTooLate(active_request &active, action_list &actions)
+{
+    if (isRepeatable(active.route().kind) || m_stop.leavesTimeFor(m_durations.longest(active.route().name), now())) {
+        return false;
+    }
+    endWithoutAnswer(active, refusal_reason::stopping, refusal_reason::attempts_exhausted_may_have_run, actions);
+    return true;
+}
+
+void forward_flow::stop(std::optional<duration> timeLeft)
+{
+    m_stop.begin(now(), timeLeft, m_settings.acceptAfterStop);
+    for (auto &[id, active] : m_activeRequests) {
+        active.deadline = m_stop.limit(active.deadline);
+        scheduleDeadline(active);
+    }
+}
+
+bool forward_flow::acceptsRequests() const
+{
+    return m_stop.acceptsRequests(now());
+}
+
 std::size_t forward_flow::vmCount() const
 {
     return m_environment.members == nullptr ? 1 : std::max<std::size_t>(m_environment.members->members().size(), 1);
@@ -637,6 +675,9 @@
 
 duration forward_flow::retryAfter(refusal_reason reason) const
 {
+    if (reason == refusal_reason::stopping) {
+        return retryAfterWhenStopping;
+    }
     if (reason == refusal_reason::prompt_part_isolated) {
         return isolatedRetryAfter + std::chrono::milliseconds(m_environment.random->below(isolatedRetryAfter.count()));
     }
@@ -699,7 +740,8 @@
 {
     m_queue.dispatch([&](const request_id &request) {
         const auto found = m_activeRequests.find(request);
-        return found == m_activeRequests.end() || tryStart(found->second, actions);
+        return found == m_activeRequests.end() || refuseIfTooLate(found->second, actions)
+            || tryStart(found->second, actions);
     });
 }
 
@@ -752,7 +794,8 @@
 void forward_flow::expire(action_list &actions)
 {
     // Refused for what is missing: the configuration or a runner.
-    for (const startup_queue::entry &each : m_startupQueue.takeExpired(now())) {
+    const bool isOver = m_stop.isOver(now());
+    for (const startup_queue::entry &each : isOver ? m_startupQueue.takeAll() : m_startupQueue.takeExpired(now())) {
         admit(each.request, each.arrivedAt, actions);
     }
     while (const std::optional<request_id> due = m_deadlines.takeExpired(now())) {
@@ -760,18 +803,25 @@
         if (found == m_activeRequests.end()) {
             continue;
         }
-        active_request &active = found->second;
-        if (now() >= active.deadline) {
-            if (active.current) {
-                cancelAttempt(active, attempt_end::cancelled, actions);
-            }
-            endWithoutAnswer(active, refusal_reason::deadline_not_run, refusal_reason::deadline_may_have_run, actions);
-        } else if (!active.current) {
-            endWithoutAnswer(
-                active, refusal_reason::no_capacity, refusal_reason::attempts_exhausted_may_have_run, actions);
-        } else {
-            moveFromSilentRunner(active, actions);
-        }
+        expire(found->second, actions);
+    }
+}
+
+void forward_flow::expire(active_request &active, action_list &actions)
+{
+    if (now() < active.deadline && active.current) {
+        moveFromSilentRunner(active, actions);
+        return;
+    }
+    if (active.current) {
+        cancelAttempt(active, attempt_end::cancelled, actions);
+    }
+    if (now() < active.deadline) {
+        endWithoutAnswer(active, refusal_reason::no_capacity, refusal_reason::attempts_exhausted_may_have_run, actions);
+    } else if (m_stop.isOver(now())) {
+        endWithoutAnswer(active, refusal_reason::stopping, refusal_reason::attempts_exhausted_may_have_run, actions);
+    } else {
+        endWithoutAnswer(active, refusal_reason::deadline_not_run, refusal_reason::deadline_may_have_run, actions);
     }
 }
 
@@ -795,7 +845,8 @@
 
 steady_time forward_flow::nextDeadline() const
 {
-    return std::min(m_deadlines.next(), m_startupQueue.nextDeadline());
+    const steady_time held = m_startupQueue.nextDeadline();
+    return std::min(m_deadlines.next(), held == steady_time::max() ? held : m_stop.limit(held));
 }
 
 std::size_t forward_flow::size() const
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -7,7 +7,9 @@
 #include "plugins/forwarding/forward_environment.h"
 #include "plugins/forwarding/forward_queue.h"
 #include "plugins/forwarding/forwarding_settings.h"
+#include "plugins/forwarding/planned_stop.h"
 #include "plugins/forwarding/retry_budget.h"
+#include "plugins/forwarding/route_durations.h"
 #include "plugins/forwarding/startup_queue.h"
 
 #include <set>
@@ -22,7 +24,8 @@
 public:
     forward_flow(const forward_environment &environment, const forwarding_settings &settings);
 
-    /// Before the configuration and the list of runners are read, the request waits for them within bounds.
+    /// Before the configuration and the list of runners are read, the request waits for them within bounds. Refused
+    /// when a planned stop leaves no time for it.
     void receive(const forward_request &request, action_list &actions);
     /// Starts the requests that waited for the configuration and the list of runners, once both are read.
     void startWaitingForConfiguration(action_list &actions);
@@ -40,6 +43,10 @@
     /// Handles the requests whose deadline, queue timeout or silence timeout has expired.
     void expire(action_list &actions);
     steady_time nextDeadline() const;
+    /// Limits all requests to the time that the stop leaves.
+    void stop(std::optional<duration> timeLeft);
+    /// False in a planned stop, once callers have had time to learn of other entry VMs.
+    bool acceptsRequests() const;
 
     std::size_t size() const;
     /// Description of the request that has been in progress longest; empty when there is none.
@@ -143,6 +150,9 @@
     /// request now.
     void moveFromSilentRunner(active_request &active, action_list &actions);
     bool mayRetry(const active_request &active) const;
+    /// Refuses a request that may not be repeated when a planned stop leaves no time for an attempt.
+    bool refuseIfTooLate(active_request &active, action_list &actions);
+    void expire(active_request &active, action_list &actions);
     void endAttempt(active_request &active, attempt_end end);
     void cancelAttempt(active_request &active, attempt_end end, action_list &actions);
     /// Cancels an attempt whose answer can't be used, and starts another one if the request allows it.
@@ -165,6 +175,9 @@
     retry_budget m_retryBudget;
     forward_queue m_queue;
     startup_queue m_startupQueue;
+    planned_stop m_stop;
+    /// Of requests that may not be repeated.
+    route_durations m_durations;
     deadline_set m_deadlines;
     std::unordered_map<request_id, active_request> m_activeRequests;
     std::unordered_map<attempt_number, request_id> m_requestByAttempt;
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -59,7 +59,7 @@
     void handle(const event &event, action_list &actions) override
     {
         std::visit(
-            overloaded{[&](const forward_received &received) { receive(received.request, actions); },
+            overloaded{[&](const forward_received &received) { m_flow->receive(received.request, actions); },
                        [&](const request_abandoned &abandoned) { m_flow->abandon(abandoned.request, actions); },
                        [&](const forward_head_received &received) { m_flow->receiveHead(received, actions); },
                        [&](const forward_event_received &received) { m_flow->receiveEvent(received, actions); },
@@ -81,7 +81,7 @@
                            m_suspects->expire(actions);
                            m_flow->expire(actions);
                        },
-                       [&](const stop_requested &) { m_stopRequestedAt = m_context->time.steadyNow(); },
+                       [&](const stop_requested &stop) { m_flow->stop(stop.timeLeft); },
                        [](const auto &) {}},
             event);
         if (m_suspects->takeIsolationsAdded()) {
@@ -96,7 +96,7 @@
 
     bool isIdle() const override
     {
-        return m_flow->size() == 0 && !acceptsRequests();
+        return m_flow->size() == 0 && !m_flow->acceptsRequests();
     }
 
     void describe(nlohmann::json &status) const override
@@ -110,28 +110,11 @@
     }
 
 private:
-    bool acceptsRequests() const
-    {
-        return !m_stopRequestedAt || m_context->time.steadyNow() < *m_stopRequestedAt + m_settings.acceptAfterStop;
-    }
-
-    void receive(const forward_request &request, action_list &actions)
-    {
-        if (acceptsRequests()) {
-            m_flow->receive(request, actions);
-            return;
-        }
-        // Other entry VMs can take the request at once.
-        constexpr std::chrono::milliseconds retryAfterWhenStopping{50};
-        actions.push_back(refuse_forward{request.request, refusal_reason::stopping, retryAfterWhenStopping});
-    }
-
     plugin_context *m_context = nullptr;
     forwarding_settings m_settings;
     forward_environment m_environment;
     std::optional<crash_suspects> m_suspects;
     std::optional<forward_flow> m_flow;
-    std::optional<steady_time> m_stopRequestedAt;
 };
 
 namespace {
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <map>
+#include <utility>
 
 namespace crocuslane {
 
@@ -138,6 +139,7 @@
     void addRoute(const std::string &prefix, route_kind kind, const std::vector<std::string> &models = {})
     {
         forward_route route;
+        route.name = prefix;
         route.pathPrefix = prefix;
         route.kind = kind;
         route.timeout = std::chrono::seconds(10);
@@ -562,6 +564,53 @@
     CHECK(refusal(ended) == refusal_reason::deadline_may_have_run);
 }
 
+// Guards against requests that are cut without an answer at the end of a planned stop.
+TEST_CASE_METHOD(forward_flow_fixture, "planned stop, time is over, answers the requests that are left", "[forwarding]")
+{
+    m_backends.runners = {"a"};
+    send("/order/", "at-runner");
+    send("/order/", "queued");
+    m_flow->stop(std::chrono::milliseconds(300));
+    CHECK(all<refuse_forward>(wait(std::chrono::milliseconds(290))).empty());
+    const auto refusals = all<refuse_forward>(wait(std::chrono::milliseconds(10)));
+    REQUIRE(refusals.size() == 2);
+    for (const refuse_forward &each : refusals) {
+        const bool isAtRunner = each.request == request_id("at-runner");
+        CHECK(each.reason == (isAtRunner ? refusal_reason::attempts_exhausted_may_have_run : refusal_reason::stopping));
+    }
+    CHECK(m_flow->size() == 0);
+}
+
+// Guards against a request that is held for the configuration and cut without an answer at the end of a planned stop.
+TEST_CASE_METHOD(forward_flow_fixture, "planned stop, held request and time is over, is refused", "[forwarding]")
+{
+    const auto configuration = std::exchange(m_routes.content, nullptr);
+    send("/order/");
+    m_flow->stop(std::chrono::milliseconds(100));
+    CHECK(m_flow->nextDeadline() <= m_clock.steadyNow() + std::chrono::milliseconds(100));
+    CHECK(refusal(wait(std::chrono::milliseconds(100))) == refusal_reason::no_configuration);
+    CHECK(m_flow->size() == 0);
+}
+
+// Guards against an order that is started, again after a refusal or from the queue, so late that it is cut.
+TEST_CASE_METHOD(forward_flow_fixture, "planned stop, order would take too long, isn't started", "[forwarding]")
+{
+    const auto usual = one<start_forward>(send("/order/", "usual"));
+    m_clock.advance(std::chrono::seconds(2));
+    success(usual.attempt);
+    complete(usual.attempt);
+    m_backends.runners = {"a"};
+    const auto refused = one<start_forward>(send("/order/", "refused"));
+    send("/order/", "queued");
+    m_flow->stop(std::chrono::milliseconds(1900));
+    CHECK(refusal(send("/order/", "new")) == refusal_reason::stopping);
+    CHECK(refusal(refuseAsNotRun(refused.attempt)) == refusal_reason::stopping);
+    action_list actions;
+    m_flow->dispatchWaiting(actions);
+    CHECK(refusal(actions) == refusal_reason::stopping);
+    CHECK(all<start_forward>(send("/look/", "look")).size() == 1);
+}
+
 // Guards against a request that stays queued until its deadline although its answer would come too late.
 TEST_CASE_METHOD(forward_flow_fixture,
                  "queued request, no capacity in time, is refused early with a time to retry",
