Give paused transfers no credit for the time of their pause

Cause: a transfer that waited long for its turn had its whole burst of 4 ms again, and 64 of them used all of the time. Test: "work share, resumed after a long pause, waits after little work"; the function is new, so it could not fail before.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -324,6 +324,7 @@
     {
         const transfer_number number = paused.number;
         paused.isPaused = false;
+        paused.share.resume(std::chrono::steady_clock::now());
         // libcurl passes on what it has kept, and reports an error of that only by its result.
         if (curl_easy_pause(paused.handle, CURLPAUSE_CONT) != CURLE_OK) {
             finish(number, transfer_result::lost, 0);
--- a/src/libs/net/tests/work_share_test.cpp
+++ b/src/libs/net/tests/work_share_test.cpp
@@ -47,3 +47,14 @@
     }
     CHECK(toSeconds(used) == Approx(2.0).epsilon(0.05));
 }
+
+// Guards against many paused transfers that each use a whole burst when they go on, and together all of the time.
+TEST_CASE_METHOD(work_share_fixture, "work share, resumed after a long pause, waits after little work", "[net]")
+{
+    use(milliseconds(9));
+    m_now += std::chrono::seconds(1);
+    m_share.resume(m_now);
+    CHECK(m_share.waitTime(m_now) == duration::zero());
+    use(milliseconds(1));
+    CHECK(m_share.waitTime(m_now) > duration::zero());
+}
--- a/src/libs/net/work_share.h
+++ b/src/libs/net/work_share.h
@@ -13,6 +13,8 @@
     void use(steady_time start, steady_time end);
     /// Time from @p now until the transfer may use the loop again; zero when it may at once.
     duration waitTime(steady_time now) const;
+    /// Lets the transfer go on at @p now after a pause, without credit for the time of the pause.
+    void resume(steady_time now);
 
 private:
     duration excess(steady_time now) const;
