--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -10,7 +10,6 @@
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <cctype>
 #include <deque>
 #include <map>
 #include <optional>
@@ -29,41 +28,6 @@
 constexpr std::size_t abortTransfer = 0;
 // The sockets are served between two paused transfers that go on.
 constexpr std::chrono::milliseconds shortestPause{1};
-constexpr std::string_view statusLinePrefix = "HTTP/";
-// Between the characters of a field name that are neither letters nor digits (RFC 9110, section 5.6.2).
-constexpr std::string_view nameCharacters = "!#$%&'*+-.^_`|~";
-// Lower statuses (1xx) are those of interim answers.
-constexpr std::uint32_t firstFinalStatus = 200;
-
-bool isDigit(char character)
-{
-    return character >= '0' && character <= '9';
-}
-
-bool isFieldName(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char character) {
-        return std::isalnum(character) != 0 || nameCharacters.find(static_cast<char>(character)) != std::string::npos;
-    });
-}
-
-/// Whether @p text contains the beginning of a status line, "HTTP/1.1 200", at or after @p from.
-bool containsStatusLine(std::string_view text, std::size_t from)
-{
-    constexpr std::string_view pattern = "0.0 000";
-    for (std::size_t at = text.find(statusLinePrefix, from); at != std::string_view::npos;
-         at = text.find(statusLinePrefix, at + 1)) {
-        const std::string_view rest = text.substr(at + statusLinePrefix.size(), pattern.size());
-        const bool matches = rest.size() == pattern.size()
-            && std::equal(rest.begin(), rest.end(), pattern.begin(), [](char found, char expected) {
-                                 return expected == '0' ? isDigit(found) : found == expected;
-                             });
-        if (matches) {
-            return true;
-        }
-    }
-    return false;
-}
 
 } // namespace
 
@@ -74,10 +38,7 @@
         CURL *handle = nullptr;
         curl_slist *headers = nullptr;
         bool hasStatus = false;
-        http_response_head head;
-        /// A status line was read, and the blank line that ends its head was not.
-        bool isInsideHead = false;
-        bool isHeadComplete = false;
+        answer_head_reader head;
         std::size_t headBytes = 0;
         std::size_t bodyBytes = 0;
         /// Whether libcurl has started to write the request to a connection.
@@ -161,18 +122,17 @@
     void end(CURL *handle, CURLcode code)
     {
         const transfer &ended = transferOf(handle);
-        long status = 0;
-        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        std::uint32_t status = statusOf(ended);
         transfer_result result = transfer_result::complete;
         if (code != CURLE_OK) {
             result = ended.hasStartedSending ? transfer_result::lost : transfer_result::not_connected;
             recordFailure(ended);
-        } else if (!ended.isHeadComplete) {
+        } else if (!ended.head.isComplete()) {
             // libcurl reports success when the connection is closed inside the head.
             result = transfer_result::lost;
             status = 0;
         }
-        finish(ended.number, result, static_cast<std::uint32_t>(status));
+        finish(ended.number, result, status);
     }
 
     /// When a reused connection failed, the other idle connections to the address have probably failed for the same
@@ -332,6 +292,14 @@
         finishIteration();
     }
 
+    /// Status of the latest status line; 0 without one.
+    static std::uint32_t statusOf(const transfer &transfer)
+    {
+        long status = 0;
+        curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+        return static_cast<std::uint32_t>(status);
+    }
+
     static transfer &transferOf(CURL *handle)
     {
         char *pointer = nullptr;
@@ -392,11 +360,17 @@
         if (current.headBytes > current.request.maximumHeadBytes) {
             return abortTransfer;
         }
-        if (current.isHeadComplete) {
+        if (current.head.isComplete()) {
             return bytes;
         }
-        if (!current.owner->readHeaderLine(current, {data, bytes})) {
+        switch (current.head.readLine({data, bytes}, statusOf(current))) {
+        case answer_head_reader::state::malformed:
             return abortTransfer;
+        case answer_head_reader::state::complete:
+            current.owner->reportHead(current);
+            break;
+        case answer_head_reader::state::incomplete:
+            break;
         }
         return current.isCancelled ? bytesTakenAfterCancel(current, bytes) : bytes;
     }
@@ -408,59 +382,12 @@
         return cancelled.isDiscarded ? bytes : abortTransfer;
     }
 
-    /// Returns false when the head is malformed. A head that breaks off and runs into the head of the next answer would
-    /// otherwise get the fields of that answer.
-    bool readHeaderLine(transfer &current, std::string_view line)
+    void reportHead(transfer &current)
     {
-        while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-            line.remove_suffix(1);
-        }
-        if (!current.isInsideHead) {
-            return beginHead(current, line);
-        }
-        if (line.empty()) {
-            current.isInsideHead = false;
-            completeHead(current);
-            return true;
-        }
-        const std::size_t colon = line.find(':');
-        if (colon == std::string_view::npos || !isFieldName(line.substr(0, colon)) || containsStatusLine(line, colon)) {
-            return false;
-        }
-        std::string_view value = line.substr(colon + 1);
-        while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
-            value.remove_prefix(1);
-        }
-        while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
-            value.remove_suffix(1);
-        }
-        current.head.fields.push_back({std::string(line.substr(0, colon)), std::string(value)});
-        return true;
-    }
-
-    bool beginHead(transfer &current, std::string_view line)
-    {
-        if (!line.starts_with(statusLinePrefix) || containsStatusLine(line, 1)) {
-            return false;
-        }
-        long status = 0;
-        curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
-        current.head = {static_cast<std::uint32_t>(status), {}};
-        current.isInsideHead = true;
-        return true;
-    }
-
-    void completeHead(transfer &current)
-    {
-        // Another head follows that of an interim answer.
-        if (current.head.status < firstFinalStatus) {
-            return;
-        }
-        current.isHeadComplete = true;
         current.lastProgress = std::chrono::steady_clock::now();
         if (current.request.onHead) {
             isInCallback = true;
-            current.request.onHead(current.head);
+            current.request.onHead(current.head.head());
             isInCallback = false;
         }
     }
@@ -487,10 +414,8 @@
         current.lastProgress = start;
         if (!current.hasStatus) {
             current.hasStatus = true;
-            long status = 0;
-            curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
             if (current.request.onStatus) {
-                current.request.onStatus(static_cast<std::uint32_t>(status));
+                current.request.onStatus(statusOf(current));
             }
         }
         if (current.request.onData && !current.isCancelled) {
@@ -519,11 +444,6 @@
     std::map<std::string, steady_time> freshConnectionsUntil;
 };
 
-const std::string *http_response_head::find(std::string_view name) const
-{
-    return findField(fields, name);
-}
-
 http_client::http_client(event_loop &loop)
     : d(std::make_unique<private_data>(loop))
 {
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "net/answer_head_reader.h"
 #include "net/header_field.h"
 
 #include <cstdint>
@@ -26,15 +27,6 @@
     lost,
 };
 
-/// Status line and header of an answer.
-struct http_response_head {
-    std::uint32_t status = 0;
-    header_list fields;
-
-    /// Value of the first field with this name, in upper or lower case; null when there is none.
-    const std::string *find(std::string_view name) const;
-};
-
 struct http_client_request {
     std::string method = "GET";
     /// "ip:port"
