Don't look for a transfer at libcurl's own handles

Found by reading the diff, not seen in a run: libcurl closes connections of its cache with a handle that belongs to no transfer, and may report the end of their watching with it; the check for a paused transfer would have read through a null pointer and ended the process. Such a handle counts as not paused. net_test passes (29 cases); no test closes a connection that way while it is watched.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -121,7 +121,7 @@
 
     void end(CURL *handle, CURLcode code)
     {
-        const transfer &ended = transferOf(handle);
+        const transfer &ended = *transferOf(handle);
         std::uint32_t status = statusOf(ended);
         transfer_result result = transfer_result::complete;
         if (code != CURLE_OK) {
@@ -300,11 +300,12 @@
         return static_cast<std::uint32_t>(status);
     }
 
-    static transfer &transferOf(CURL *handle)
+    /// Null for a handle that libcurl uses to close connections.
+    static transfer *transferOf(CURL *handle)
     {
         char *pointer = nullptr;
         curl_easy_getinfo(handle, CURLINFO_PRIVATE, &pointer);
-        return *reinterpret_cast<transfer *>(pointer);
+        return reinterpret_cast<transfer *>(pointer);
     }
 
     static int socketCallback(CURL *handle, curl_socket_t socket, int pollEvents, void *self, void * /*socketData*/)
@@ -313,7 +314,8 @@
         if (pollEvents == CURL_POLL_REMOVE) {
             owner.sockets.unwatch(socket);
             // The connection of a paused transfer is in use, although libcurl doesn't watch it.
-            if (!transferOf(handle).isPaused) {
+            const transfer *const last = transferOf(handle);
+            if (last == nullptr || !last->isPaused) {
                 owner.idleSockets.add(socket);
             }
             return 0;
