--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -505,9 +505,7 @@
         if (!active.hasStreamBegun) {
             actions.push_back(begin_stream{active.request.request, completed.answer});
         }
-        if (!isRepeatable(active.route().kind)) {
-            m_durations.record(active.route().name, now() - active.arrivedAt);
-        }
+        recordDuration(active);
         actions.push_back(finish_stream{active.request.request});
         finish(active, "answered", actions);
         return;
@@ -518,9 +516,7 @@
         finish(active, "broken_off", actions);
         return;
     }
-    if (!isRepeatable(active.route().kind)) {
-        m_durations.record(active.route().name, now() - active.arrivedAt);
-    }
+    recordDuration(active);
     actions.push_back(deliver_answer{active.request.request, completed.answer});
     finish(active, "answered", actions);
 }
@@ -583,6 +579,13 @@
     startOrWait(active, actions);
 }
 
+void forward_flow::recordDuration(const active_request &active)
+{
+    if (!isRepeatable(active.route().kind)) {
+        m_durations.record(active.route().name, now() - active.arrivedAt);
+    }
+}
+
 bool forward_flow::refuseIfTooLate(active_request &active, action_list &actions)
 {
     if (isRepeatable(active.route().kind) || m_stop.leavesTimeFor(m_durations.longest(active.route().name), now())) {
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -150,6 +150,8 @@
     /// request now.
     void moveFromSilentRunner(active_request &active, action_list &actions);
     bool mayRetry(const active_request &active) const;
+    /// Remembers how long an answered request took, if it may not be repeated.
+    void recordDuration(const active_request &active);
     /// Refuses a request that may not be repeated when a planned stop leaves no time for an attempt.
     bool refuseIfTooLate(active_request &active, action_list &actions);
     void expire(active_request &active, action_list &actions);
