--- a/src/libs/edge/loop_delay_monitor.cpp
+++ b/src/libs/edge/loop_delay_monitor.cpp
@@ -2,7 +2,8 @@
 
 #include "base/logger.h"
 #include "edge/traffic_metrics.h"
-#include "net/event_loop.h"
+
+#include <algorithm>
 
 namespace crocuslane {
 
@@ -31,8 +32,8 @@
 
 loop_delay_monitor::~loop_delay_monitor()
 {
-    if (m_isScheduled) {
-        m_loop.cancel(m_timer);
+    if (m_timer) {
+        m_loop.cancel(*m_timer);
     }
 }
 
@@ -46,12 +47,11 @@
     m_workAtLastCheck = m_decisions.work();
     m_dueAt = m_clock.steadyNow() + checkInterval;
     m_timer = m_loop.schedule(checkInterval, [this] { check(); });
-    m_isScheduled = true;
 }
 
 void loop_delay_monitor::check()
 {
-    m_isScheduled = false;
+    m_timer.reset();
     const duration delay = std::max(m_clock.steadyNow() - m_dueAt, duration::zero());
     m_metrics.observeLoopDelay(delay);
     if (delay > loggedDelay) {
--- a/src/libs/edge/loop_delay_monitor.h
+++ b/src/libs/edge/loop_delay_monitor.h
@@ -2,10 +2,12 @@
 
 #include "base/clock.h"
 #include "edge/decision_loop.h"
+#include "net/event_loop.h"
+
+#include <optional>
 
 namespace crocuslane {
 
-class event_loop;
 class logger;
 class traffic_metrics;
 
@@ -32,8 +34,7 @@
     const decision_loop &m_decisions;
     traffic_metrics &m_metrics;
     logger &m_log;
-    std::uint64_t m_timer = 0;
-    bool m_isScheduled = false;
+    std::optional<timer_number> m_timer;
     steady_time m_dueAt;
     decision_work m_workAtLastCheck;
 };
