--- a/src/plugins/forwarding/crash_suspects.cpp
+++ b/src/plugins/forwarding/crash_suspects.cpp
@@ -43,9 +43,9 @@
 // Reports of the last refusal that differ by less are the same, delayed in transit.
 constexpr std::chrono::seconds refusalInaccuracy{1};
 
-std::uint64_t hashOf(const std::string &text, std::uint64_t seed = 0)
+std::uint64_t hashOf(const std::string &text)
 {
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+    return XXH3_64bits(text.data(), text.size());
 }
 
 /// Calls @p visit with the id and position of each part but the last.
@@ -91,11 +91,10 @@
     return [this](const suspect_table::loss &loss) { return m_runners.hasCrashed(loss.runner, loss.at); };
 }
 
-crash_suspects::runner_key crash_suspects::keyOf(const runner_id &runner) const
+runner_key crash_suspects::keyOf(const runner_id &runner) const
 {
     const auto found = m_startTimes.find(runner);
-    const std::int64_t started = found == m_startTimes.end() ? 0 : found->second;
-    return hashOf(runner.value(), static_cast<std::uint64_t>(started));
+    return crocuslane::keyOf(runner, found == m_startTimes.end() ? 0 : found->second);
 }
 
 crash_suspects::verdict crash_suspects::judge(const std::vector<prompt_part> &prompt)
--- a/src/plugins/forwarding/crash_suspects.h
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -63,7 +63,6 @@
 
 private:
     using part_id = suspect_table::part_id;
-    using runner_key = runner_crash_detector::runner_key;
 
     struct attempt {
         std::vector<prompt_part> prompt;
--- a/src/plugins/forwarding/runner_crash_detector.h
+++ b/src/plugins/forwarding/runner_crash_detector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "kernel/runner_key.h"
 #include "kernel/types.h"
 
 #include <cstdint>
@@ -13,12 +14,10 @@
 
 namespace crocuslane {
 
-/// Tells runners that ended from runners that lost single answers. A runner is a process: a hash of id and start time.
+/// Tells runners that ended from runners that lost single answers. Here, a runner is a process.
 class runner_crash_detector
 {
 public:
-    using runner_key = std::uint64_t;
-
     enum class evidence {
         /// All attempts of this VM at the runner were lost at the same time, and there were several.
         all_attempts_lost,
--- a/src/plugins/forwarding/tests/runner_crash_detector_test.cpp
+++ b/src/plugins/forwarding/tests/runner_crash_detector_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr runner_crash_detector::runner_key runner = 5;
+constexpr runner_key runner = 5;
 
 class crash_detector_fixture
 {
