Read and log the limits that runners state

The field is read from every answer head, plain or stream, refusals included; runner_limit_stated, _lifted and _unreadable log changes, attempt_started the limit that the VM knew. No decision uses the limit yet. Values that are no decimal number (empty, signed, exponent, not a number) state no limit and are logged once; of two fields the lower counts.

--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -130,6 +130,14 @@
     double slowdownFactor = 1.0;
 };
 
+/// What an answer says about the rate of requests that its runner takes.
+struct stated_rate_limit {
+    /// From all entry VMs together; empty when the answer states no limit that can be read.
+    std::optional<double> requestsPerSecond;
+    /// The beginning of a statement that can't be read.
+    std::string unreadable;
+};
+
 /// The attempt that an answer names.
 enum class answer_identity {
     /// No attempt.
@@ -158,6 +166,7 @@
     /// The model's confidence in its answer, 0 to 100.
     std::optional<unsigned> confidence;
     std::optional<reported_load> load;
+    stated_rate_limit rateLimit;
 };
 
 /// A runner's answer with header and body, defined by the edge. The decision code only returns it in actions.
--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -43,12 +43,21 @@
     const std::set<runner_id> *excluded = nullptr;
 };
 
+/// Limit of a runner's requests from all entry VMs together.
+struct known_rate_limit {
+    double requestsPerSecond = 0.0;
+    /// Time since the runner last stated it.
+    duration age{};
+};
+
 struct backend_choice {
     runner_id runner;
     std::string address;
     std::string version;
     /// Expected time until the first part of the answer.
     duration expectedDelay{};
+    /// Empty when the runner has stated no limit.
+    std::optional<known_rate_limit> rateLimit = {};
 };
 
 /// Expected times of a prompt at runners.
--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -200,6 +200,12 @@
     }
 }
 
+const attempt_load *backend_table::findAttempt(attempt_number attempt) const
+{
+    const auto found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? nullptr : &found->second;
+}
+
 const attempt_load *backend_table::answerBegan(attempt_number attempt)
 {
     const auto found = m_attempts.find(attempt);
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -2,6 +2,7 @@
 
 #include "kernel/action.h"
 #include "kernel/event.h"
+#include "kernel/runner_key.h"
 #include "plugins/backends/entry_history.h"
 #include "plugins/backends/failure_record.h"
 #include "plugins/backends/gone_runners.h"
@@ -16,6 +17,8 @@
 /// Work that one attempt causes at a runner, as this VM estimates it.
 struct attempt_load {
     runner_id runner;
+    /// The process of the runner that was listed when the attempt started.
+    runner_key process = 0;
     /// Tokens of prompt and answer in the runner's KV cache.
     std::uint64_t memoryTokens = 0;
     /// Prompt tokens that the runner has to prefill before its answer begins, and the expected time for that.
@@ -75,6 +78,8 @@
     /// Records that the answer of an attempt has begun and returns the attempt's load; null when this was recorded
     /// before or the attempt has ended.
     const attempt_load *answerBegan(attempt_number attempt);
+    /// Null when the attempt has ended.
+    const attempt_load *findAttempt(attempt_number attempt) const;
     /// Subtracts the attempt's load and returns its runner; null when the runner was removed or the attempt has ended
     /// before.
     backend_record *attemptEnded(attempt_number attempt);
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -1,8 +1,10 @@
 #include "kernel/plugin.h"
 #include "plugins/backends/backend_selector.h"
 #include "plugins/backends/backend_settings.h"
+#include "plugins/backends/rate_limit_table.h"
 #include "services/runner_use_exchange.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <memory>
@@ -36,6 +38,8 @@
             m_table.applyList(*list, now(), actions);
             m_isListRead = true;
             m_context->post(capacity_changed{});
+        } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
+            noteRateLimit(*received, actions);
         } else if (std::holds_alternative<timer_expired>(event)) {
             m_table.expire(now(), actions);
         }
@@ -58,7 +62,11 @@
             return std::nullopt;
         }
         const backend_entry &entry = chosen->record->entry;
-        return backend_choice{entry.id, entry.address, entry.version, chosen->expectedDelay};
+        backend_choice choice{entry.id, entry.address, entry.version, chosen->expectedDelay};
+        if (const rate_limit_table::limit *limit = m_rateLimits.find(processOf(*chosen->record))) {
+            choice.rateLimit = known_rate_limit{limit->requestsPerSecond, now() - limit->statedAt};
+        }
+        return choice;
     }
 
     bool hasRunner(const backend_requirements &requirements) const override
@@ -77,14 +85,17 @@
     {
         attempt_load load;
         load.runner = runner;
+        load.startedAt = now();
         load.memoryTokens = requirements.promptTokens + requirements.outputTokens;
         backend_record *record = m_table.find(runner);
+        if (record != nullptr) {
+            load.process = processOf(*record);
+        }
         if (record != nullptr && requirements.engine != nullptr && requirements.prompt != nullptr) {
             const std::uint32_t cached = record->prompts.cachedTokens(*requirements.prompt, now());
             load.prefillTokens = requirements.promptTokens - std::min(requirements.promptTokens, cached);
             load.prefillTime = m_prefillSpeed.timeFor(requirements.model, load.prefillTokens);
             load.model = requirements.model;
-            load.startedAt = now();
             record->prompts.add(*requirements.prompt, requirements.engine->kvCacheTokens, now());
         }
         m_table.attemptStarted(attempt, load);
@@ -150,6 +161,7 @@
     void describe(nlohmann::json &status) const override
     {
         status["runners"] = m_table.size();
+        status["limited_runners"] = m_rateLimits.size();
     }
 
 private:
@@ -158,8 +170,39 @@
         return m_context->time.steadyNow();
     }
 
+    static runner_key processOf(const backend_record &record)
+    {
+        return keyOf(record.entry.id, record.entry.startedUnixMilliseconds);
+    }
+
+    void noteRateLimit(const forward_head_received &received, action_list &actions)
+    {
+        const forward_answer_head &head = received.head;
+        const attempt_load *load = m_table.findAttempt(received.attempt);
+        // Another runner's answer says nothing about this one.
+        if (load == nullptr || head.isMisdirected || head.identity == answer_identity::other) {
+            return;
+        }
+        const rate_limit_table::change change =
+            m_rateLimits.note(load->process, head.rateLimit, head.isGenuine, load->startedAt, now());
+        if (change == rate_limit_table::change::stated) {
+            actions.push_back(
+                log_decision{"runner_limit_stated",
+                             {},
+                             {{"runner", load->runner.value()},
+                              {"requests_per_s", fmt::format("{:g}", *head.rateLimit.requestsPerSecond)}}});
+        } else if (change == rate_limit_table::change::lifted) {
+            actions.push_back(log_decision{"runner_limit_lifted", {}, {{"runner", load->runner.value()}}});
+        } else if (change == rate_limit_table::change::unreadable) {
+            actions.push_back(log_decision{"runner_limit_unreadable",
+                                           {},
+                                           {{"runner", load->runner.value()}, {"value", head.rateLimit.unreadable}}});
+        }
+    }
+
     plugin_context *m_context = nullptr;
     backend_table m_table;
+    rate_limit_table m_rateLimits;
     bool m_isListRead = false;
     prefill_speed m_prefillSpeed;
     std::optional<backend_selector> m_selector;
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -332,14 +332,19 @@
     action.resumeAfter = active.lastEvent;
     action.isStream = isStream(active.route().kind);
     action.usesNewConnection = !active.runnersSentTo.insert(choice.runner).second;
-    actions.push_back(log_decision{"attempt_started",
-                                   active.request.request,
-                                   {{"attempt", std::to_string(active.attempts)},
-                                    {"runner", choice.runner.value()},
-                                    {"version", choice.version},
-                                    {"model", active.model},
-                                    {"expected_ms", milliseconds(choice.expectedDelay)},
-                                    {"left_ms", milliseconds(action.timeLeft)}}});
+    log_decision line{"attempt_started",
+                      active.request.request,
+                      {{"attempt", std::to_string(active.attempts)},
+                       {"runner", choice.runner.value()},
+                       {"version", choice.version},
+                       {"model", active.model},
+                       {"expected_ms", milliseconds(choice.expectedDelay)},
+                       {"left_ms", milliseconds(action.timeLeft)}}};
+    if (choice.rateLimit) {
+        line.fields.emplace_back("limit_per_s", fmt::format("{:g}", choice.rateLimit->requestsPerSecond));
+        line.fields.emplace_back("limit_age_ms", milliseconds(choice.rateLimit->age));
+    }
+    actions.push_back(std::move(line));
     actions.push_back(std::move(action));
     scheduleDeadline(active);
 }
