--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -46,8 +46,8 @@
         for (const vm_id &id : all) {
             member_info info;
             info.id = id;
-            info.lastContactAge = duration::zero();
             info.isSelf = id == self;
+            info.lastContactAge = isAlone && !info.isSelf ? std::chrono::hours(1) : duration::zero();
             list.push_back(info);
         }
         return list;
@@ -55,7 +55,7 @@
 
     bool hasContactWithMajority(duration /*limit*/) const override
     {
-        return true;
+        return !isAlone;
     }
 
     const std::vector<vm_entry> &backendServers() const override
@@ -80,13 +80,21 @@
     }
 
     vm_id self;
+    bool isAlone = false;
     std::set<vm_id> all;
     std::vector<vm_entry> none;
 };
 
+constexpr std::string_view vmPrefix = "vm-";
+
 vm_id idOf(std::size_t number)
 {
-    return vm_id("vm-" + std::to_string(number));
+    return vm_id(std::string(vmPrefix) + std::to_string(number));
+}
+
+std::size_t numberOf(const vm_id &id)
+{
+    return std::stoul(id.value().substr(vmPrefix.size()));
 }
 
 } // namespace
@@ -179,14 +187,40 @@
     start(number);
     for (const vm_id &peer : m_vms[number]->members.connectedPeers()) {
         handle(number, peer_connected{peer});
-        for (std::size_t other = 0; other < m_vms.size(); ++other) {
-            if (idOf(other) == peer) {
-                handle(other, peer_connected{idOf(number)});
-            }
+        handle(numberOf(peer), peer_connected{idOf(number)});
+    }
+}
+
+void simulated_fleet::setLimit(std::size_t count, std::optional<double> requestsPerSecond)
+{
+    m_limit = requestsPerSecond;
+    m_limited.clear();
+    for (const std::string &runner : m_running) {
+        if (m_limited.size() < count) {
+            m_limited.insert(runner);
         }
     }
 }
 
+void simulated_fleet::setCut(std::size_t vm, bool isCut)
+{
+    if (isCut) {
+        m_cut.insert(vm);
+    } else {
+        m_cut.erase(vm);
+    }
+    m_vms[vm]->members.isAlone = isCut;
+}
+
+void simulated_fleet::setFrozen(std::size_t vm, bool isFrozen)
+{
+    if (isFrozen) {
+        m_frozen.insert(vm);
+    } else {
+        m_frozen.erase(vm);
+    }
+}
+
 void simulated_fleet::setLostAnswers(double share)
 {
     m_lostAnswers = share;
@@ -230,17 +264,16 @@
 {
     m_clock.advance(stepTime);
     updateRunners();
+    const auto isDue = [this](const message &each) { return each.at <= now() && !m_frozen.contains(each.to); };
     std::vector<message> due;
-    std::copy_if(m_messages.begin(), m_messages.end(), std::back_inserter(due), [this](const message &each) {
-        return each.at <= now();
-    });
-    std::erase_if(m_messages, [this](const message &each) { return each.at <= now(); });
+    std::copy_if(m_messages.begin(), m_messages.end(), std::back_inserter(due), isDue);
+    std::erase_if(m_messages, isDue);
     for (const message &each : due) {
         handle(each.to, peer_message_received{each.from, each.content});
     }
     progress();
     for (std::size_t number = 0; number < m_vms.size(); ++number) {
-        if (m_vms[number]->decisions.nextDeadline() <= now()) {
+        if (!m_frozen.contains(number) && m_vms[number]->decisions.nextDeadline() <= now()) {
             handle(number, timer_expired{});
         }
     }
@@ -270,17 +303,21 @@
             if (const auto *evidence = std::get_if<crash_evidence>(&sent->message)) {
                 m_largestMessage = std::max(m_largestMessage, evidence->parts.size() + evidence->runners.size());
             }
-            const duration delay =
-                messageDelay + m_random.below(messageDelayJitter.count()) * std::chrono::milliseconds(1);
-            for (std::size_t other = 0; other < m_vms.size(); ++other) {
-                if (idOf(other) == sent->peer) {
-                    m_messages.push_back({now() + delay, other, idOf(number), sent->message});
-                }
-            }
+            sendToPeer(number, *sent);
         }
     }
 }
 
+void simulated_fleet::sendToPeer(std::size_t number, const send_to_peer &action)
+{
+    const std::size_t receiver = numberOf(action.peer);
+    if (m_cut.contains(number) || m_cut.contains(receiver)) {
+        return;
+    }
+    const duration delay = messageDelay + m_random.below(messageDelayJitter.count()) * std::chrono::milliseconds(1);
+    m_messages.push_back({now() + delay, receiver, idOf(number), action.message});
+}
+
 void simulated_fleet::startForward(std::size_t number, const start_forward &action)
 {
     attempt started;
@@ -292,7 +329,7 @@
     const bool losesAnswers = (started.runner.back() - '0') % 5 < 3;
     started.isLost = started.part != crashingPart && losesAnswers && m_random.unit() < m_lostAnswers;
     if (m_running.contains(started.runner)) {
-        m_sent.push_back({now(), number, started.part == crashingPart});
+        m_sent.push_back({now(), number, started.part == crashingPart, started.runner});
     }
     m_attempts.push_back(started);
 }
@@ -305,7 +342,7 @@
         const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&copy](const attempt &each) {
             return each.vm == copy.vm && each.number == copy.number;
         });
-        if (found == m_attempts.end()) {
+        if (found == m_attempts.end() || m_frozen.contains(copy.vm)) {
             continue;
         }
         const auto end = [&](const event &event) {
@@ -330,6 +367,9 @@
                 head.status = 200;
                 head.isGenuine = true;
                 head.isEventStream = true;
+                if (m_limited.contains(copy.runner)) {
+                    head.rateLimit.requestsPerSecond = m_limit;
+                }
                 handle(copy.vm, forward_head_received{copy.number, head, nullptr});
             }
             handle(copy.vm, forward_event_received{copy.number, copy.events + 1, true, "data"});
@@ -409,6 +449,33 @@
         m_sent.begin(), m_sent.end(), [time](const sent_request &each) { return each.isCrashing && each.at > time; }));
 }
 
+std::size_t
+simulated_fleet::mostArrivalsAtLimited(steady_time from, duration window, const std::set<std::size_t> &excused) const
+{
+    std::size_t most = 0;
+    for (const std::string &runner : m_limited) {
+        std::deque<steady_time> inWindow;
+        for (const sent_request &each : m_sent) {
+            if (each.runner != runner || each.at <= from || excused.contains(each.vm)) {
+                continue;
+            }
+            inWindow.push_back(each.at);
+            while (each.at - inWindow.front() >= window) {
+                inWindow.pop_front();
+            }
+            most = std::max(most, inWindow.size());
+        }
+    }
+    return most;
+}
+
+std::size_t simulated_fleet::arrivalsAtLimitedAfter(steady_time time) const
+{
+    return static_cast<std::size_t>(std::count_if(m_sent.begin(), m_sent.end(), [&](const sent_request &each) {
+        return each.at > time && m_limited.contains(each.runner);
+    }));
+}
+
 std::map<std::size_t, std::size_t> simulated_fleet::refusals(refusal_reason reason) const
 {
     const auto found = m_refusals.find(reason);
--- a/src/plugins/forwarding/tests/simulated_fleet.h
+++ b/src/plugins/forwarding/tests/simulated_fleet.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace crocuslane {
@@ -23,6 +24,7 @@
         steady_time at;
         std::size_t vm = 0;
         bool isCrashing = false;
+        std::string runner;
     };
 
     simulated_fleet(std::size_t vmCount, std::size_t runnerCount);
@@ -40,8 +42,21 @@
     /// Six tenths of the runners lose this share of their answers, without ending.
     void setLostAnswers(double share);
 
+    /// From now on, the first @p count runners state this limit in their answers; without a value they state none.
+    void setLimit(std::size_t count, std::optional<double> requestsPerSecond);
+    /// The VM neither receives nor sends messages, as if it were cut off from the other VMs.
+    void setCut(std::size_t vm, bool isCut);
+    /// The VM stands still: it handles nothing until it is released.
+    void setFrozen(std::size_t vm, bool isFrozen);
+
     steady_time now() const;
     std::size_t vmCount() const;
+    /// Most requests that one of the runners with a limit got in any @p window that began after @p from. Requests of
+    /// the VMs in @p excused don't count.
+    std::size_t
+    mostArrivalsAtLimited(steady_time from, duration window, const std::set<std::size_t> &excused = {}) const;
+    /// Requests that reached runners with a limit after @p time.
+    std::size_t arrivalsAtLimitedAfter(steady_time time) const;
     const std::vector<steady_time> &crashes() const;
     /// Requests with the crashing part that reached a running runner after @p time.
     std::size_t crashingRequestsSentAfter(steady_time time) const;
@@ -70,6 +85,7 @@
     void crash(std::string runner);
     void updateRunners();
     void sendList(std::size_t number);
+    void sendToPeer(std::size_t number, const send_to_peer &action);
 
     manual_clock m_clock;
     std::vector<std::unique_ptr<vm>> m_vms;
@@ -77,6 +93,10 @@
     /// Runners that are listed; the value is when the entry is removed.
     std::map<std::string, std::optional<steady_time>> m_listed;
     std::set<std::string> m_running;
+    std::set<std::string> m_limited;
+    std::optional<double> m_limit;
+    std::set<std::size_t> m_cut;
+    std::set<std::size_t> m_frozen;
     std::deque<steady_time> m_starts;
     std::size_t m_runnerNumber = 0;
     std::vector<attempt> m_attempts;
