--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -1,6 +1,7 @@
 #include "plugins/forwarding/forward_flow.h"
 
-#include <fmt/format.h>
+#include "plugins/forwarding/request_log.h"
+#include "plugins/forwarding/request_timeouts.h"
 
 #include <algorithm>
 
@@ -12,19 +13,8 @@
 constexpr std::uint32_t firstRedirection = 300;
 // A request with less time before its deadline is not sent again: the answer would come too late.
 constexpr std::chrono::milliseconds minimumTimeLeft{30};
-// An attempt counts as silent after this fraction of the route's objective.
-constexpr double silenceFractionOfObjective = 0.7;
-// A stream counts as silent after this multiple of its event interval. Runners pause their streams while they prefill a
-// long prompt of another request; with a shorter limit, such a stream would be moved and its prompt prefilled again,
-// although its event is late in either case.
-constexpr double silenceMultipleOfEventInterval = 1.6;
-// A queued request is refused once queueTimeoutFraction of the objective has passed since its arrival, but not before
-// minimumQueueTimeFraction of the objective has passed since it was last queued.
-constexpr double queueTimeoutFraction = 0.5;
-constexpr double minimumQueueTimeFraction = 0.2;
 // A new attempt gets this multiple of its expected delay before the silence timeout begins.
 constexpr int expectedDelaysBeforeSilence = 3;
-constexpr std::chrono::milliseconds minimumSilenceTimeout{500};
 constexpr std::chrono::milliseconds minimumRetryAfter{300};
 constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
 // Other entry VMs can take the request at once.
@@ -34,10 +24,6 @@
 constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
 // Assumed length of an answer when the caller states neither an estimate nor a maximum.
 constexpr std::uint32_t defaultOutputTokens = 200;
-std::string milliseconds(duration value)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
 
 std::uint32_t outputTokensOf(const forward_request &request)
 {
@@ -47,17 +33,6 @@
     return request.maximumTokens > 0 ? request.maximumTokens : defaultOutputTokens;
 }
 
-// The last part is left out: it is the request's own.
-std::string sharedPartsText(const std::vector<prompt_part> &prompt)
-{
-    constexpr std::size_t maximumLoggedParts = 8;
-    std::string text;
-    for (std::size_t index = 0; index + 1 < prompt.size() && index < maximumLoggedParts; ++index) {
-        text += fmt::format("{}{:x}", index == 0 ? "" : ",", prompt[index].id);
-    }
-    return text;
-}
-
 bool isSuccess(std::uint32_t status)
 {
     return status >= 200 && status < firstRedirection;
@@ -199,11 +174,7 @@
         setModel(active, previousModel);
         return false;
     }
-    actions.push_back(log_decision{"answer_escalated",
-                                   active.request.request,
-                                   {{"confidence", std::to_string(*head.confidence)},
-                                    {"to", active.model},
-                                    {"expected_ms", milliseconds(choice->expectedDelay)}}});
+    actions.push_back(answerEscalatedLine(active, *choice));
     cancelAttempt(active, attempt_end::cancelled, actions);
     startAttempt(active, requirementsOf(active, versionRule(active)), *choice, actions);
     return true;
@@ -297,7 +268,7 @@
                                 const backend_choice &choice,
                                 action_list &actions)
 {
-    attempt started;
+    active_attempt started;
     started.number = ++m_lastAttempt;
     started.runner = choice.runner;
     started.version = choice.version;
@@ -332,24 +303,12 @@
     action.resumeAfter = active.lastEvent;
     action.isStream = isStream(active.route().kind);
     action.usesNewConnection = !active.runnersSentTo.insert(choice.runner).second;
-    log_decision line{"attempt_started",
-                      active.request.request,
-                      {{"attempt", std::to_string(active.attempts)},
-                       {"runner", choice.runner.value()},
-                       {"version", choice.version},
-                       {"model", active.model},
-                       {"expected_ms", milliseconds(choice.expectedDelay)},
-                       {"left_ms", milliseconds(action.timeLeft)}}};
-    if (choice.rateLimit) {
-        line.fields.emplace_back("limit_per_s", fmt::format("{:g}", choice.rateLimit->requestsPerSecond));
-        line.fields.emplace_back("limit_age_ms", milliseconds(choice.rateLimit->age));
-    }
-    actions.push_back(std::move(line));
+    actions.push_back(attemptStartedLine(active, choice, action.timeLeft));
     actions.push_back(std::move(action));
     scheduleDeadline(active);
 }
 
-forward_flow::active_request *forward_flow::findByAttempt(attempt_number attempt)
+active_request *forward_flow::findByAttempt(attempt_number attempt)
 {
     const auto found = m_requestByAttempt.find(attempt);
     if (found == m_requestByAttempt.end()) {
@@ -380,7 +339,7 @@
         active.hasStreamBegun && isSuccess(received.head.status) && !received.head.isEventStream;
     const bool isUsable = received.head.isGenuine && !isSuccessOfOtherForm;
     if (received.head.isNotRun || received.head.isMisdirected || !isUsable) {
-        logRefusedHead(active, received.head, actions);
+        actions.push_back(attemptRefusedLine(active, received.head));
     }
     if (received.head.isNotRun || received.head.isMisdirected) {
         --active.attemptsThatMayHaveRun;
@@ -406,26 +365,6 @@
     retry(active, actions);
 }
 
-void forward_flow::logRefusedHead(const active_request &active,
-                                  const forward_answer_head &head,
-                                  action_list &actions) const
-{
-    std::string_view meaning = "answer_not_genuine";
-    if (head.isMisdirected) {
-        meaning = "other_runner_at_address";
-    } else if (head.isNotRun) {
-        meaning = "not_run";
-    } else if (head.isGenuine) {
-        meaning = "no_event_stream";
-    }
-    actions.push_back(log_decision{"attempt_refused",
-                                   active.request.request,
-                                   {{"runner", active.current->runner.value()},
-                                    {"status", std::to_string(head.status)},
-                                    {"meaning", std::string(meaning)},
-                                    {"names_attempt", std::string(toName(head.identity))}}});
-}
-
 void forward_flow::receiveEvent(const forward_event_received &received, action_list &actions)
 {
     active_request *found = findByAttempt(received.attempt);
@@ -533,13 +472,7 @@
         return;
     }
     active_request &active = *found;
-    actions.push_back(log_decision{"attempt_failed",
-                                   active.request.request,
-                                   {{"runner", active.current->runner.value()},
-                                    {"failure", std::string(toName(failed.failure))},
-                                    {"had_events", active.current->hasEvent ? "true" : "false"},
-                                    {"milliseconds", milliseconds(now() - active.current->started)},
-                                    {"parts", sharedPartsText(active.request.prompt)}}});
+    actions.push_back(attemptFailedLine(active, failed.failure, now()));
     if (failed.failure == attempt_failure::not_sent) {
         --active.attempts;
         --active.attemptsThatMayHaveRun;
@@ -640,7 +573,7 @@
     endAttempt(active, end);
 }
 
-void forward_flow::observe(const active_request &active, const attempt &attempt, attempt_result result)
+void forward_flow::observe(const active_request &active, const active_attempt &attempt, attempt_result result)
 {
     if (m_environment.rollouts == nullptr) {
         return;
@@ -695,31 +628,7 @@
 
 void forward_flow::finish(active_request &active, std::string_view outcome, action_list &actions)
 {
-    log_decision line{"request_finished",
-                      active.request.request,
-                      {{"outcome", std::string(outcome)},
-                       {"attempts", std::to_string(active.attempts)},
-                       {"milliseconds", milliseconds(now() - active.arrivedAt)}}};
-    if (active.match.route != nullptr) {
-        line.fields.emplace_back("route", active.route().name);
-        line.fields.emplace_back("service", active.service.value());
-        line.fields.emplace_back("model", active.model);
-        line.fields.emplace_back("priority", std::to_string(active.match.priority()));
-        if (active.confidence) {
-            line.fields.emplace_back("confidence", std::to_string(*active.confidence));
-        }
-        if (active.hasStreamBegun) {
-            line.fields.emplace_back("first_event_ms", milliseconds(active.firstEventAt - active.arrivedAt));
-            line.fields.emplace_back("longest_pause_ms", milliseconds(active.longestPause));
-        }
-        line.fields.emplace_back("configuration", std::to_string(active.match.configuration->version));
-        std::string runners;
-        for (const runner_id &runner : active.triedRunners) {
-            runners += (runners.empty() ? "" : ",") + runner.value();
-        }
-        line.fields.emplace_back("runners", std::move(runners));
-    }
-    actions.push_back(std::move(line));
+    actions.push_back(requestFinishedLine(active, outcome, now()));
     if (active.current) {
         endAttempt(active, attempt_end::cancelled);
     }
@@ -774,29 +683,9 @@
     }
 }
 
-duration forward_flow::silenceTimeout(const active_request &active) const
-{
-    const forward_route &route = active.route();
-    if (active.current->hasEvent && route.eventInterval > duration::zero()) {
-        return fromSeconds(silenceMultipleOfEventInterval * toSeconds(route.eventInterval));
-    }
-    return std::max<duration>(fromSeconds(silenceFractionOfObjective * toSeconds(route.objective)),
-                              minimumSilenceTimeout);
-}
-
 void forward_flow::scheduleDeadline(const active_request &active)
 {
-    steady_time next = active.deadline;
-    if (active.current && isRepeatable(active.route().kind)) {
-        next = std::min(next, active.current->lastActivity + silenceTimeout(active));
-    }
-    if (!active.current) {
-        const double objective = toSeconds(active.route().objective);
-        next = std::min(next,
-                        std::max(active.arrivedAt + fromSeconds(queueTimeoutFraction * objective),
-                                 active.queuedAt + fromSeconds(minimumQueueTimeFraction * objective)));
-    }
-    m_deadlines.set(active.request.request, next);
+    m_deadlines.set(active.request.request, nextTimeout(active));
 }
 
 void forward_flow::expire(action_list &actions)
@@ -871,21 +760,7 @@
     if (oldest == m_activeRequests.end()) {
         return {};
     }
-    const active_request &active = oldest->second;
-    std::string text = fmt::format("{} age_ms={} attempts={} left_ms={}",
-                                   active.request.request.value(),
-                                   milliseconds(now() - active.arrivedAt),
-                                   active.attempts,
-                                   milliseconds(active.deadline - now()));
-    if (active.lastEvent) {
-        text += fmt::format(" last_event={}", *active.lastEvent);
-    }
-    if (active.current) {
-        text += fmt::format(" runner={} heard_ms={}",
-                            active.current->runner.value(),
-                            milliseconds(now() - active.current->lastActivity));
-    }
-    return text;
+    return requestDescription(oldest->second, now());
 }
 
 std::size_t forward_flow::waiting() const
