Move request_bucket to the base library

The plug-in backends needs the same bucket with another capacity and an empty start: both are parameters now, admission passes the values that it had. No change of behaviour; admission_test passes before and after.

--- a/src/plugins/admission/request_bucket.cpp
+++ b/src/libs/base/request_bucket.cpp
@@ -1,4 +1,4 @@
-#include "plugins/admission/request_bucket.h"
+#include "base/request_bucket.h"
 
 #include <algorithm>
 
@@ -6,21 +6,23 @@
 
 namespace {
 
-// One interval of the demand exchange between VMs: shares can't follow demand any faster.
-constexpr double burstSeconds = 0.5;
-// Arrivals are not evenly spaced; with a smaller burst, a group of a few requests/s would often exceed its limit.
-constexpr double smallestBurst = 2.0;
 // Upper bound of secondsToNext(), also used at rate 0.
 constexpr double maximumWaitSeconds = 60.0;
 
 } // namespace
 
-void request_bucket::setRate(double perSecond, steady_time now)
+request_bucket::request_bucket(initial_level level)
+    : m_initialLevel(level)
+{
+}
+
+void request_bucket::setRate(double perSecond, double capacity, steady_time now)
 {
     refill(now);
     m_rate = perSecond;
-    m_capacity = std::max(smallestBurst, perSecond * burstSeconds);
-    m_level = m_isNew ? m_capacity : std::min(m_level, m_capacity);
+    m_capacity = capacity;
+    const bool startsFull = m_isNew && m_initialLevel == initial_level::full;
+    m_level = startsFull ? m_capacity : std::min(m_level, m_capacity);
     m_isNew = false;
 }
 
--- a/src/plugins/admission/request_bucket.h
+++ b/src/libs/base/request_bucket.h
@@ -8,8 +8,14 @@
 class request_bucket
 {
 public:
-    /// Refills at the old rate up to @p now, then changes the rate.
-    void setRate(double perSecond, steady_time now);
+    enum class initial_level {
+        empty,
+        full,
+    };
+
+    explicit request_bucket(initial_level level);
+    /// Refills at the old rate up to @p now, then changes the rate. @p capacity is in requests.
+    void setRate(double perSecond, double capacity, steady_time now);
     /// Takes one request; false, with nothing taken, if less than one is available.
     bool tryTake(steady_time now);
     /// Seconds until the next request can be taken, at most 60; 60 if none is available at rate 0.
@@ -18,6 +24,7 @@
 private:
     void refill(steady_time now);
 
+    initial_level m_initialLevel;
     double m_rate = 0.0;
     double m_capacity = 0.0;
     double m_level = 0.0;
--- a/src/plugins/admission/admission_plugin.cpp
+++ b/src/plugins/admission/admission_plugin.cpp
@@ -1,10 +1,10 @@
+#include "base/request_bucket.h"
 #include "kernel/plugin.h"
 #include "plugins/admission/arrival_rate.h"
 #include "plugins/admission/fair_order.h"
 #include "plugins/admission/idle_capacity.h"
 #include "plugins/admission/limit_share.h"
 #include "plugins/admission/remote_demand.h"
-#include "plugins/admission/request_bucket.h"
 #include "services/admission_controller.h"
 #include "services/configuration_source.h"
 #include "services/member_view.h"
@@ -36,6 +36,11 @@
 // the group's share of the limit admits in excessSeconds, but at least smallestExcessBound.
 constexpr std::size_t smallestExcessBound = 8;
 constexpr double excessSeconds = 2.0;
+// One interval of the demand exchange between VMs: shares can't follow demand any faster.
+constexpr double burstSeconds = 0.5;
+// In requests. Arrivals are not evenly spaced; with a smaller burst, a group of a few requests/s would often exceed its
+// limit.
+constexpr double smallestBurst = 2.0;
 
 // Rate that the smoothed demand of a group within its limit rarely exceeds. The variance of a smoothed Poisson process
 // is its rate divided by twice the time constant.
@@ -90,7 +95,7 @@
     struct group_usage {
         arrival_rate rate{demandTimeConstant};
         sliding_minimum_rate minimumRate{demandPropagationDelay};
-        request_bucket bucket;
+        request_bucket bucket{request_bucket::initial_level::full};
         /// Part of the group's limit that this VM may use, 0 to 1.
         double share = 0.0;
         /// Sum of the arrival rates at the other VMs, from their last fresh messages.
@@ -185,7 +190,8 @@
     }
     usage.remoteRate = std::accumulate(inputs.freshRates.begin(), inputs.freshRates.end(), 0.0);
     usage.share = limitShare(inputs);
-    usage.bucket.setRate(settings.requestsPerSecond * usage.share, now());
+    const double rate = settings.requestsPerSecond * usage.share;
+    usage.bucket.setRate(rate, std::max(smallestBurst, rate * burstSeconds), now());
 }
 
 // The VMs exchange their tokens in flight, so the unused part of the limit is open to each of them: a fixed share could
