Keep the limits that runners state, over all VMs together

Cause: no code read the limit, so the rate at such a runner followed its cost in the selection.

It works because the sum of all buckets and refills stays below what is allowed for any number of VMs, and because a VM without a share sends nothing. When all runners of a service have limits and no permit comes in a request's time, it is refused at once with that time.

--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/runner_key.h"
 #include "kernel/types.h"
 
 #include <array>
@@ -204,6 +205,20 @@
     std::vector<crashed_runner> runners;
 };
 
+/// Limits that runners state for the requests from all entry VMs together, and limits that they no longer state. Each
+/// VM forwards what is new to it.
+struct runner_limits {
+    struct entry {
+        runner_key runner = 0;
+        /// Empty when the runner no longer states a limit.
+        std::optional<double> requestsPerSecond;
+        /// Time since the statement, at the time of sending.
+        std::chrono::milliseconds age{};
+    };
+
+    std::vector<entry> entries;
+};
+
 using peer_message = std::variant<heartbeat,
                                   exchange_digest,
                                   exchange_delta,
@@ -214,6 +229,7 @@
                                   configuration_text,
                                   stream_part,
                                   version_evidence_list,
-                                  crash_evidence>;
+                                  crash_evidence,
+                                  runner_limits>;
 
 } // namespace crocuslane
--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -95,6 +95,9 @@
     virtual std::optional<backend_choice> pick(const backend_requirements &requirements) = 0;
     /// True when a runner could serve the request, whether or not it has capacity now.
     virtual bool hasRunner(const backend_requirements &requirements) const = 0;
+    /// Time until the limits that runners state let the request start, when @p before others start first: zero if a
+    /// runner without a limit could serve it, empty if this VM may not send it in the foreseeable future.
+    virtual std::optional<duration> limitDelay(const backend_requirements &requirements, std::size_t before) = 0;
     virtual void
     attemptStarted(attempt_number attempt, const backend_requirements &requirements, const runner_id &runner) = 0;
     /// The answer has begun, so the prompt is prefilled. Further calls for the same attempt have no effect.
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -5,6 +5,7 @@
 #include "wire/frame_codec.h"
 #include "wire/log_scale.h"
 #include "wire/name_list.h"
+#include "wire/runner_limits_codec.h"
 
 #include <zlib.h>
 
@@ -327,6 +328,12 @@
     return encoded(wire::message::crash_evidence, wire::Createcrash_evidence(builder, partVector, runnerVector));
 }
 
+leaf::result<encoded_message>
+encode(FlatBufferBuilder &builder, name_list_writer & /*names*/, const runner_limits &message)
+{
+    return encoded(wire::message::runner_limits, encodeRunnerLimits(builder, message));
+}
+
 // Treats an absent vector as empty.
 template<typename element>
 std::size_t sizeOf(const flatbuffers::Vector<element> *vector)
@@ -621,6 +628,8 @@
         return decode(names, *envelope.message_as_version_evidence_list());
     case wire::message::crash_evidence:
         return decode(names, *envelope.message_as_crash_evidence());
+    case wire::message::runner_limits:
+        return decodeRunnerLimits(*envelope.message_as_runner_limits());
     case wire::message::NONE:
         break;
     }
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -81,6 +81,11 @@
 struct crash_evidence;
 struct crash_evidenceBuilder;
 
+struct runner_limit;
+
+struct runner_limits;
+struct runner_limitsBuilder;
+
 struct envelope;
 struct envelopeBuilder;
 
@@ -100,11 +105,12 @@
   stream_part = 9,
   version_evidence_list = 10,
   crash_evidence = 11,
+  runner_limits = 12,
   MIN = NONE,
-  MAX = crash_evidence
+  MAX = runner_limits
 };
 
-inline const message (&EnumValuesmessage())[12] {
+inline const message (&EnumValuesmessage())[13] {
   static const message values[] = {
     message::NONE,
     message::heartbeat,
@@ -117,13 +123,14 @@
     message::configuration_text,
     message::stream_part,
     message::version_evidence_list,
-    message::crash_evidence
+    message::crash_evidence,
+    message::runner_limits
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "heartbeat",
     "exchange_digest",
@@ -136,13 +143,14 @@
     "stream_part",
     "version_evidence_list",
     "crash_evidence",
+    "runner_limits",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::crash_evidence)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::runner_limits)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -195,6 +203,10 @@
   static const message enum_value = message::crash_evidence;
 };
 
+template<> struct messageTraits<crocuslane::wire::runner_limits> {
+  static const message enum_value = message::runner_limits;
+};
+
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
@@ -526,6 +538,45 @@
   using type = crashed_runner;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) runner_limit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t runner_;
+  double requests_per_s_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  runner_limit()
+      : runner_(0),
+        requests_per_s_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  runner_limit(uint64_t _runner, double _requests_per_s, uint32_t _age_ms)
+      : runner_(flatbuffers::EndianScalar(_runner)),
+        requests_per_s_(flatbuffers::EndianScalar(_requests_per_s)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t runner() const {
+    return flatbuffers::EndianScalar(runner_);
+  }
+  double requests_per_s() const {
+    return flatbuffers::EndianScalar(requests_per_s_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(runner_limit, 24);
+
+struct runner_limit::Traits {
+  using type = runner_limit;
+};
+
 struct name_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef name_listBuilder Builder;
   struct Traits;
@@ -2153,6 +2204,63 @@
       runners__);
 }
 
+struct runner_limits FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef runner_limitsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<const crocuslane::wire::runner_limit *> *entries() const {
+    return GetPointer<const flatbuffers::Vector<const crocuslane::wire::runner_limit *> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct runner_limitsBuilder {
+  typedef runner_limits Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::runner_limit *>> entries) {
+    fbb_.AddOffset(runner_limits::VT_ENTRIES, entries);
+  }
+  explicit runner_limitsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<runner_limits> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<runner_limits>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<runner_limits> Createrunner_limits(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const crocuslane::wire::runner_limit *>> entries = 0) {
+  runner_limitsBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct runner_limits::Traits {
+  using type = runner_limits;
+  static auto constexpr Create = Createrunner_limits;
+};
+
+inline flatbuffers::Offset<runner_limits> Createrunner_limitsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<crocuslane::wire::runner_limit> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVectorOfStructs<crocuslane::wire::runner_limit>(*entries) : 0;
+  return crocuslane::wire::Createrunner_limits(
+      _fbb,
+      entries__);
+}
+
 struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef envelopeBuilder Builder;
   struct Traits;
@@ -2220,6 +2328,9 @@
   const crocuslane::wire::crash_evidence *message_as_crash_evidence() const {
     return message_type() == crocuslane::wire::message::crash_evidence ? static_cast<const crocuslane::wire::crash_evidence *>(message()) : nullptr;
   }
+  const crocuslane::wire::runner_limits *message_as_runner_limits() const {
+    return message_type() == crocuslane::wire::message::runner_limits ? static_cast<const crocuslane::wire::runner_limits *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL_VERSION, 2) &&
@@ -2279,6 +2390,10 @@
   return message_as_crash_evidence();
 }
 
+template<> inline const crocuslane::wire::runner_limits *envelope::message_as<crocuslane::wire::runner_limits>() const {
+  return message_as_runner_limits();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2521,6 +2636,10 @@
       auto ptr = reinterpret_cast<const crocuslane::wire::crash_evidence *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::runner_limits: {
+      auto ptr = reinterpret_cast<const crocuslane::wire::runner_limits *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -158,6 +158,21 @@
     CHECK(std::get<crash_evidence>(roundTrip(crash_evidence{})).parts.empty());
 }
 
+// Guards against a limit that another VM reads differently: it would send a runner in need too much, or nothing.
+TEST_CASE_METHOD(envelope_fixture, "runner limits, stated or lifted, survive a round trip", "[wire]")
+{
+    const runner_limits sent{{{0xeeeeeeeeeeeeeeee, 1.6, 120ms}, {5, std::nullopt, 3ms}, {6, 0.0, -1ms}}};
+    const auto read = std::get<runner_limits>(roundTrip(sent));
+    REQUIRE(read.entries.size() == 3);
+    CHECK((read.entries[0].runner == 0xeeeeeeeeeeeeeeee && read.entries[0].requestsPerSecond == 1.6));
+    CHECK(read.entries[0].age == 120ms);
+    CHECK((read.entries[1].runner == 5 && !read.entries[1].requestsPerSecond && read.entries[1].age == 3ms));
+    CHECK((read.entries[2].requestsPerSecond == 0.0 && read.entries[2].age == 0ms));
+    CHECK(std::get<runner_limits>(roundTrip(runner_limits{})).entries.empty());
+    const double notFinite = std::numeric_limits<double>::quiet_NaN();
+    CHECK(std::get<runner_limits>(roundTrip(runner_limits{{{5, notFinite, 3ms}}})).entries.empty());
+}
+
 // Guards against a part that exhausts the memory of its receiver, and against accepting damaged compressed records.
 TEST_CASE_METHOD(envelope_fixture, "stream part, compressed records damaged or too large, is rejected", "[wire]")
 {
--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+runner_key backend_record::process() const
+{
+    return keyOf(entry.id, entry.startedUnixMilliseconds);
+}
+
 unsigned backend_record::remoteRunning() const
 {
     unsigned total = 0;
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -49,6 +49,8 @@
     failure_record failures;
     prompt_cache prompts;
 
+    /// The process that is listed.
+    runner_key process() const;
     unsigned remoteRunning() const;
     /// Requests in progress at the runner: the larger of the VMs' own counts and the number from the runner's recent
     /// load report, corrected by the requests that this VM started or ended since.
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -1,10 +1,11 @@
 #include "kernel/plugin.h"
 #include "plugins/backends/backend_selector.h"
 #include "plugins/backends/backend_settings.h"
-#include "plugins/backends/rate_limit_table.h"
+#include "plugins/backends/rate_limit_exchange.h"
+#include "plugins/backends/rate_limiter.h"
+#include "services/member_view.h"
 #include "services/runner_use_exchange.h"
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <memory>
@@ -28,10 +29,18 @@
             location.regions = settings->regions;
         }
         m_selector.emplace(std::move(location), context.random, m_prefillSpeed);
+        m_limiter.emplace(context.node.id, m_limits);
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
     }
 
+    void start(action_list & /*actions*/) override
+    {
+        const auto *members = m_context->services.tryFind<member_view>();
+        m_limiter->setMembers(members);
+        m_limitExchange.setMembers(members);
+    }
+
     void handle(const event &event, action_list &actions) override
     {
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
@@ -39,15 +48,23 @@
             m_isListRead = true;
             m_context->post(capacity_changed{});
         } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
-            noteRateLimit(*received, actions);
+            announceIf(m_limitExchange.headReceived(*received, now(), actions));
+        } else if (const auto *connected = std::get_if<peer_connected>(&event)) {
+            m_limitExchange.connected(connected->peer, now(), actions);
+        } else if (const auto *message = std::get_if<peer_message_received>(&event)) {
+            if (const auto *limits = std::get_if<runner_limits>(&message->message)) {
+                announceIf(m_limitExchange.receive(*limits, now(), actions));
+            }
         } else if (std::holds_alternative<timer_expired>(event)) {
             m_table.expire(now(), actions);
+            m_limitExchange.expire(now(), actions);
+            announcePermits();
         }
     }
 
     steady_time nextDeadline() const override
     {
-        return m_table.nextExpiry();
+        return std::min({m_table.nextExpiry(), m_nextPermit, m_limitExchange.nextDeadline()});
     }
 
     bool isListRead() const override
@@ -57,13 +74,16 @@
 
     std::optional<backend_choice> pick(const backend_requirements &requirements) override
     {
-        const auto chosen = m_selector->select(m_table.findReady(requirements.service), requirements, now());
+        std::vector<backend_record *> candidates = m_table.findReady(requirements.service);
+        const steady_time nextPermit = removeLimited(candidates, requirements);
+        const auto chosen = m_selector->select(candidates, requirements, now());
         if (!chosen) {
+            m_nextPermit = std::min(m_nextPermit, nextPermit);
             return std::nullopt;
         }
         const backend_entry &entry = chosen->record->entry;
         backend_choice choice{entry.id, entry.address, entry.version, chosen->expectedDelay};
-        if (const rate_limit_table::limit *limit = m_rateLimits.find(processOf(*chosen->record))) {
+        if (const rate_limit_table::limit *limit = m_limits.find(chosen->record->process())) {
             choice.rateLimit = known_rate_limit{limit->requestsPerSecond, now() - limit->statedAt};
         }
         return choice;
@@ -80,6 +100,26 @@
         return false;
     }
 
+    std::optional<duration> limitDelay(const backend_requirements &requirements, std::size_t before) override
+    {
+        std::optional<duration> shortest;
+        double rate = 0.0;
+        for (const backend_record *record : m_table.findReady(requirements.service)) {
+            if (!backend_selector::isEligible(*record, requirements)) {
+                continue;
+            }
+            const runner_key process = record->process();
+            if (m_limits.find(process) == nullptr) {
+                return duration::zero();
+            }
+            if (const std::optional<duration> delay = m_limiter->delay(process, now())) {
+                shortest = std::min(shortest.value_or(*delay), *delay);
+                rate += m_limiter->rate(process, now());
+            }
+        }
+        return shortest ? std::optional(*shortest + fromSeconds(static_cast<double>(before) / rate)) : std::nullopt;
+    }
+
     void
     attemptStarted(attempt_number attempt, const backend_requirements &requirements, const runner_id &runner) override
     {
@@ -89,7 +129,8 @@
         load.memoryTokens = requirements.promptTokens + requirements.outputTokens;
         backend_record *record = m_table.find(runner);
         if (record != nullptr) {
-            load.process = processOf(*record);
+            load.process = record->process();
+            m_limiter->take(load.process, now());
         }
         if (record != nullptr && requirements.engine != nullptr && requirements.prompt != nullptr) {
             const std::uint32_t cached = record->prompts.cachedTokens(*requirements.prompt, now());
@@ -161,7 +202,7 @@
     void describe(nlohmann::json &status) const override
     {
         status["runners"] = m_table.size();
-        status["limited_runners"] = m_rateLimits.size();
+        status["limited_runners"] = m_limits.size();
     }
 
 private:
@@ -170,39 +211,49 @@
         return m_context->time.steadyNow();
     }
 
-    static runner_key processOf(const backend_record &record)
+    /// Removes the runners that get no request from this VM now because of their limits. Returns when the first of
+    /// them that could serve the request may get one.
+    steady_time removeLimited(std::vector<backend_record *> &candidates, const backend_requirements &requirements)
     {
-        return keyOf(record.entry.id, record.entry.startedUnixMilliseconds);
+        steady_time next = steady_time::max();
+        if (m_limits.size() == 0) {
+            return next;
+        }
+        std::erase_if(candidates, [&](const backend_record *record) {
+            const std::optional<duration> delay = m_limiter->delay(record->process(), now());
+            if (delay == duration::zero()) {
+                return false;
+            }
+            if (delay && backend_selector::isEligible(*record, requirements)) {
+                next = std::min(next, now() + *delay);
+            }
+            return true;
+        });
+        return next;
     }
 
-    void noteRateLimit(const forward_head_received &received, action_list &actions)
+    void announcePermits()
     {
-        const forward_answer_head &head = received.head;
-        const attempt_load *load = m_table.findAttempt(received.attempt);
-        // Another runner's answer says nothing about this one.
-        if (load == nullptr || head.isMisdirected || head.identity == answer_identity::other) {
-            return;
+        if (now() >= m_nextPermit) {
+            m_nextPermit = steady_time::max();
+            m_context->post(capacity_changed{});
         }
-        const rate_limit_table::change change =
-            m_rateLimits.note(load->process, head.rateLimit, head.isGenuine, load->startedAt, now());
-        if (change == rate_limit_table::change::stated) {
-            actions.push_back(
-                log_decision{"runner_limit_stated",
-                             {},
-                             {{"runner", load->runner.value()},
-                              {"requests_per_s", fmt::format("{:g}", *head.rateLimit.requestsPerSecond)}}});
-        } else if (change == rate_limit_table::change::lifted) {
-            actions.push_back(log_decision{"runner_limit_lifted", {}, {{"runner", load->runner.value()}}});
-        } else if (change == rate_limit_table::change::unreadable) {
-            actions.push_back(log_decision{"runner_limit_unreadable",
-                                           {},
-                                           {{"runner", load->runner.value()}, {"value", head.rateLimit.unreadable}}});
+    }
+
+    void announceIf(bool hasMoreCapacity)
+    {
+        if (hasMoreCapacity) {
+            m_context->post(capacity_changed{});
         }
     }
 
     plugin_context *m_context = nullptr;
     backend_table m_table;
-    rate_limit_table m_rateLimits;
+    rate_limit_table m_limits;
+    rate_limit_exchange m_limitExchange{m_limits, m_table};
+    std::optional<rate_limiter> m_limiter;
+    /// When the queue is looked at again because a runner with a limit takes another request.
+    steady_time m_nextPermit = steady_time::max();
     bool m_isListRead = false;
     prefill_speed m_prefillSpeed;
     std::optional<backend_selector> m_selector;
--- a/src/plugins/forwarding/active_request.h
+++ b/src/plugins/forwarding/active_request.h
@@ -39,6 +39,8 @@
     steady_time deadline;
     /// When the request was last queued for lack of a runner with free capacity.
     steady_time queuedAt;
+    /// Time until the limits of the runners let the request start, when it is refused for them.
+    duration limitDelay{};
     std::optional<active_attempt> current;
     /// Runners that are not tried again before the others.
     std::set<runner_id> triedRunners;
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -237,10 +237,27 @@
         return;
     }
     active.queuedAt = now();
+    if (refuseAtLimit(active, actions)) {
+        return;
+    }
     m_queue.push(active.request.request, active.service.value(), priority);
     scheduleDeadline(active);
 }
 
+bool forward_flow::refuseAtLimit(active_request &active, action_list &actions)
+{
+    const std::size_t before = m_queue.countBefore(active.service.value(), active.match.priority());
+    const std::optional<duration> delay = m_environment.backends->limitDelay(requirementsOf(active, {}), before);
+    if (delay && now() + *delay <= queueDeadline(active)) {
+        return false;
+    }
+    // Without a share of the limits here, another VM may have one.
+    active.limitDelay = delay.value_or(duration::zero());
+    endWithoutAnswer(
+        active, refusal_reason::runners_at_limit, refusal_reason::attempts_exhausted_may_have_run, actions);
+    return true;
+}
+
 bool forward_flow::tryStart(active_request &active, action_list &actions)
 {
     version_rule rule;
@@ -610,7 +627,7 @@
 
 void forward_flow::refuse(active_request &active, refusal_reason reason, action_list &actions)
 {
-    actions.push_back(refuse_forward{active.request.request, reason, retryAfter(reason)});
+    actions.push_back(refuse_forward{active.request.request, reason, active.limitDelay + retryAfter(reason)});
     finish(active, toName(reason), actions);
 }
 
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -79,6 +79,8 @@
     /// A runner that can take another attempt now.
     std::optional<backend_choice> pickForRetry(const active_request &active) const;
     backend_requirements requirementsOf(const active_request &active, const version_rule &rule) const;
+    /// Refuses a request that the limits of all runners don't let start before its queue deadline.
+    bool refuseAtLimit(active_request &active, action_list &actions);
     bool tryStart(active_request &active, action_list &actions);
     void startOrWait(active_request &active, action_list &actions);
     void startAttempt(active_request &active,
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -69,6 +69,13 @@
         return std::nullopt;
     }
 
+    std::optional<duration> limitDelay(const backend_requirements & /*requirements*/, std::size_t before) override
+    {
+        const bool isLimited = delayByLimit && *delayByLimit > duration::zero();
+        const duration delayByOthers = std::chrono::seconds(before);
+        return isLimited ? std::optional(*delayByLimit + delayByOthers) : delayByLimit;
+    }
+
     bool hasRunner(const backend_requirements &requirements) const override
     {
         for (const std::string &id : runners) {
@@ -112,6 +119,8 @@
     std::map<attempt_number, std::string> attempts;
     std::vector<attempt_end> ends;
     std::string lastModel;
+    /// Empty when the limits leave no request for this VM.
+    std::optional<duration> delayByLimit = duration::zero();
     duration expectedDelay = std::chrono::milliseconds(10);
     prefill_estimate estimate{std::chrono::milliseconds(10), std::chrono::milliseconds(5)};
 };
@@ -166,7 +175,7 @@
     action_list head(attempt_number attempt, forward_answer_head head)
     {
         action_list actions;
-        m_flow->receiveHead({attempt, head, nullptr}, actions);
+        m_flow->receiveHead({attempt, std::move(head), nullptr}, actions);
         return actions;
     }
 
@@ -611,6 +620,43 @@
     CHECK(all<start_forward>(send("/look/", "look")).size() == 1);
 }
 
+// Guards against a request that is held although no runner may take it in time, and against a time to retry at which it
+// would be refused again.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "runners at their limits, no request in time, is refused at once with the time of the next",
+                 "[forwarding]")
+{
+    m_backends.runners = {"a"};
+    m_backends.busy = {"a"};
+    m_backends.delayByLimit = std::chrono::milliseconds(700);
+    const auto refused = one<refuse_forward>(send("/look/", "first"));
+    CHECK(refused.reason == refusal_reason::runners_at_limit);
+    CHECK(refused.retryAfter >= std::chrono::milliseconds(1000));
+    CHECK(refused.retryAfter <= std::chrono::milliseconds(1900));
+    m_backends.delayByLimit = std::chrono::milliseconds(300);
+    CHECK(all<refuse_forward>(send("/look/", "second")).empty());
+    CHECK(m_flow->waiting() == 1);
+    // Behind the second.
+    CHECK(refusal(send("/look/", "third")) == refusal_reason::runners_at_limit);
+    m_backends.delayByLimit = std::nullopt;
+    const auto elsewhere = one<refuse_forward>(send("/look/", "fourth"));
+    CHECK(elsewhere.reason == refusal_reason::runners_at_limit);
+    CHECK(elsewhere.retryAfter <= std::chrono::milliseconds(1200));
+}
+
+// Guards against a refusal that says not run for a request that may have run.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "runners at their limits, request was lost at a runner, is answered as may have run",
+                 "[forwarding]")
+{
+    m_backends.runners = {"a", "b"};
+    const auto started = one<start_forward>(send("/look/"));
+    m_backends.busy = {"a", "b"};
+    m_backends.delayByLimit = std::nullopt;
+    CHECK(refusal(fail(started.attempt, attempt_failure::connection_lost))
+          == refusal_reason::attempts_exhausted_may_have_run);
+}
+
 // Guards against a request that stays queued until its deadline although its answer would come too late.
 TEST_CASE_METHOD(forward_flow_fixture,
                  "queued request, no capacity in time, is refused early with a time to retry",
--- a/src/plugins/forwarding/tests/rate_limit_test.cpp
+++ b/src/plugins/forwarding/tests/rate_limit_test.cpp
@@ -75,7 +75,7 @@
 
 // Guards against VMs that send a runner more requests together than it takes, because none of them reads the limit or
 // each keeps it by itself.
-TEST_CASE("runners with a limit, VMs of one deployment, keep the limit together", "[forwarding][!shouldfail]")
+TEST_CASE("runners with a limit, VMs of one deployment, keep the limit together", "[forwarding]")
 {
     const size deployment = GENERATE(values<size>({small, medium, large}));
     const double limit = GENERATE(0.5, 1.6, 2.5);
@@ -89,7 +89,7 @@
 }
 
 // Guards against a limit that the few VMs with most of the requests exceed.
-TEST_CASE("runners with a limit, most requests at few VMs, keep the limit together", "[forwarding][!shouldfail]")
+TEST_CASE("runners with a limit, most requests at few VMs, keep the limit together", "[forwarding]")
 {
     const size deployment = GENERATE(values<size>({small, medium}));
     constexpr double limit = 1.6;
@@ -104,7 +104,7 @@
 
 // Guards against requests that go to runners with a limit because no other runner is left: from the queue, and as
 // further attempts.
-TEST_CASE("runners with a limit, all of the service, keep the limit together", "[forwarding][!shouldfail]")
+TEST_CASE("runners with a limit, all of the service, keep the limit together", "[forwarding]")
 {
     constexpr double limit = 2.5;
     limited_fleet source(small);
@@ -118,8 +118,7 @@
 
 // Guards against VMs that forget the limit when they restart, or send what they could not send while they stood still
 // or were cut off.
-TEST_CASE("runners with a limit, VMs restart, freeze or are cut off, keep the limit together",
-          "[forwarding][!shouldfail]")
+TEST_CASE("runners with a limit, VMs restart, freeze or are cut off, keep the limit together", "[forwarding]")
 {
     constexpr double limit = 2.5;
     const size deployment = GENERATE(values<size>({small, medium}));
--- a/src/plugins/forwarding/tests/version_trial_test.cpp
+++ b/src/plugins/forwarding/tests/version_trial_test.cpp
@@ -54,6 +54,11 @@
         return backend_choice{runner_id("a"), "a:80", version, std::chrono::milliseconds(10)};
     }
 
+    std::optional<duration> limitDelay(const backend_requirements & /*requirements*/, std::size_t /*before*/) override
+    {
+        return duration::zero();
+    }
+
     bool hasRunner(const backend_requirements &requirements) const override
     {
         return requirements.versions.allows(version);
