--- a/src/plugins/forwarding/request_log.cpp
+++ b/src/plugins/forwarding/request_log.cpp
@@ -70,6 +70,7 @@
              {"failure", std::string(toName(failure))},
              {"had_events", active.current->hasEvent ? "true" : "false"},
              {"milliseconds", milliseconds(now - active.current->started)},
+             {"fingerprint", fmt::format("{:x}", active.request.fingerprint)},
              {"parts", sharedPartsText(active.request.prompt)}}};
 }
 
@@ -109,6 +110,10 @@
         runners += (runners.empty() ? "" : ",") + runner.value();
     }
     line.fields.emplace_back("runners", std::move(runners));
+    if (active.lostRunners > 0) {
+        line.fields.emplace_back("lost_runners", std::to_string(active.lostRunners));
+        line.fields.emplace_back("fingerprint", fmt::format("{:x}", active.request.fingerprint));
+    }
     return line;
 }
 
