--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -21,6 +21,8 @@
 // Time after which a crashed runner's entry is removed, and another one is listed.
 constexpr std::chrono::seconds entryLifetime{3};
 constexpr std::chrono::seconds restartTime{3};
+constexpr std::chrono::milliseconds repeatDelay{100};
+constexpr std::uint32_t tokensPerPart = 100;
 constexpr std::chrono::milliseconds messageDelay{40};
 constexpr std::chrono::milliseconds messageDelayJitter{60};
 
@@ -118,6 +120,7 @@
     attempt_number number = 0;
     std::string runner;
     std::uint64_t part = 0;
+    bool isCrashing = false;
     steady_time started;
     std::uint64_t events = 0;
     bool isLost = false;
@@ -240,16 +243,65 @@
 
 void simulated_fleet::send(std::size_t number, std::uint64_t part)
 {
-    constexpr std::uint32_t tokensPerPart = 100;
-    const std::uint64_t own = ++m_requests + 1'000'000;
-    forward_request request;
-    request.request = request_id("r" + std::to_string(m_requests));
-    request.host = "models.example";
-    request.path = "/answer/x";
-    request.prompt = {{sharedPart, tokensPerPart}, {part, tokensPerPart}, {own, tokensPerPart}};
-    request.promptTokens = 3 * tokensPerPart;
-    m_partByRequest[request.request.value()] = part;
-    handle(number, forward_received{request});
+    const std::uint64_t own = m_requests + 1'000'001;
+    known_request request;
+    request.content.prompt = {{sharedPart, tokensPerPart}, {part, tokensPerPart}, {own, tokensPerPart}};
+    request.content.promptTokens = 3 * tokensPerPart;
+    request.content.fingerprint = own;
+    request.part = part;
+    request.isCrashing = part == crashingPart;
+    sendKnown(number, request);
+}
+
+void simulated_fleet::sendCrashingRequest(std::size_t number, std::optional<std::uint64_t> part)
+{
+    known_request request;
+    if (part) {
+        request.content.prompt = {{sharedPart, tokensPerPart}, {*part, tokensPerPart}, {1, tokensPerPart}};
+        request.content.promptTokens = 3 * tokensPerPart;
+    }
+    request.content.fingerprint = crashingFingerprint;
+    request.part = part.value_or(0);
+    request.isCrashing = true;
+    sendKnown(number, request);
+}
+
+void simulated_fleet::sendKnown(std::size_t number, known_request request)
+{
+    request.content.request = request_id("r" + std::to_string(++m_requests));
+    request.content.host = "models.example";
+    request.content.path = "/answer/x";
+    m_known[request.content.request.value()] = request;
+    handle(number, forward_received{request.content});
+}
+
+// Callers repeat a failed request once, at any VM.
+void simulated_fleet::repeatFailed()
+{
+    while (!m_repeats.empty() && m_repeats.front().at <= now()) {
+        known_request request = m_repeats.front().request;
+        m_repeats.pop_front();
+        request.isRepeated = true;
+        sendKnown(m_random.below(m_vms.size()), request);
+    }
+}
+
+void simulated_fleet::refused(std::size_t number, const refuse_forward &action)
+{
+    ++m_refusals[action.reason][number];
+    const known_request &request = m_known[action.request.value()];
+    if (request.isCrashing) {
+        return;
+    }
+    m_refusedSoundRequests += action.reason == refusal_reason::prompt_part_isolated ? 1 : 0;
+    if (action.reason != refusal_reason::attempts_exhausted_may_have_run) {
+        return;
+    }
+    if (request.isRepeated) {
+        ++m_failedSoundRequests;
+    } else {
+        m_repeats.push_back({now() + repeatDelay, request});
+    }
 }
 
 void simulated_fleet::run(duration time)
@@ -272,6 +324,7 @@
         handle(each.to, peer_message_received{each.from, each.content});
     }
     progress();
+    repeatFailed();
     for (std::size_t number = 0; number < m_vms.size(); ++number) {
         if (!m_frozen.contains(number) && m_vms[number]->decisions.nextDeadline() <= now()) {
             handle(number, timer_expired{});
@@ -294,9 +347,7 @@
                 return candidate.vm == number && candidate.number == cancelled->attempt;
             });
         } else if (const auto *refused = std::get_if<refuse_forward>(&each)) {
-            ++m_refusals[refused->reason][number];
-            const bool isSound = m_partByRequest[refused->request.value()] != crashingPart;
-            m_refusedSoundRequests += isSound && refused->reason == refusal_reason::prompt_part_isolated ? 1 : 0;
+            this->refused(number, *refused);
         } else if (const auto *line = std::get_if<log_decision>(&each)) {
             ++m_logLines[std::string(line->event)];
         } else if (const auto *sent = std::get_if<send_to_peer>(&each)) {
@@ -324,12 +375,13 @@
     started.vm = number;
     started.number = action.attempt;
     started.runner = action.runner.value();
-    started.part = m_partByRequest[action.request.value()];
+    started.part = m_known[action.request.value()].part;
+    started.isCrashing = m_known[action.request.value()].isCrashing;
     started.started = now();
     const bool losesAnswers = (started.runner.back() - '0') % 5 < 3;
-    started.isLost = started.part != crashingPart && losesAnswers && m_random.unit() < m_lostAnswers;
+    started.isLost = !started.isCrashing && losesAnswers && m_random.unit() < m_lostAnswers;
     if (m_running.contains(started.runner)) {
-        m_sent.push_back({now(), number, started.part == crashingPart, started.runner});
+        m_sent.push_back({now(), number, started.isCrashing, started.runner});
     }
     m_attempts.push_back(started);
 }
@@ -353,7 +405,7 @@
             end(forward_failed{copy.number, attempt_failure::not_sent});
         } else if (now() < copy.started + answerBegin + copy.events * eventInterval) {
             continue;
-        } else if (copy.part == crashingPart && m_isCrashing) {
+        } else if (copy.isCrashing && m_isCrashing) {
             crash(copy.runner);
         } else if (copy.isLost) {
             end(forward_failed{copy.number, attempt_failure::connection_lost});
@@ -498,6 +550,11 @@
     return m_refusedSoundRequests;
 }
 
+std::size_t simulated_fleet::failedSoundRequests() const
+{
+    return m_failedSoundRequests;
+}
+
 std::size_t simulated_fleet::largestMessage() const
 {
     return m_largestMessage;
--- a/src/plugins/forwarding/tests/simulated_fleet.h
+++ b/src/plugins/forwarding/tests/simulated_fleet.h
@@ -19,6 +19,7 @@
 public:
     static constexpr std::uint64_t sharedPart = 1;
     static constexpr std::uint64_t crashingPart = 0xbad;
+    static constexpr std::uint64_t crashingFingerprint = 0xdead;
 
     struct sent_request {
         steady_time at;
@@ -32,6 +33,9 @@
 
     /// Sends a request at the VM with number @p vm; its prompt is sharedPart, @p part, and a part of its own.
     void send(std::size_t vm, std::uint64_t part);
+    /// Sends the request that crashes each runner, again under a new id. Its parts are sharedPart and @p part, or it
+    /// has no prompt.
+    void sendCrashingRequest(std::size_t vm, std::optional<std::uint64_t> part);
     void run(duration time);
     /// Replaces the VM by a new process.
     void restart(std::size_t vm);
@@ -58,13 +62,15 @@
     /// Requests that reached runners with a limit after @p time.
     std::size_t arrivalsAtLimitedAfter(steady_time time) const;
     const std::vector<steady_time> &crashes() const;
-    /// Requests with the crashing part that reached a running runner after @p time.
+    /// Crashing requests that reached a running runner after @p time.
     std::size_t crashingRequestsSentAfter(steady_time time) const;
     /// Refusals with the given reason since the last call of clearRefusals(), by VM.
     std::map<std::size_t, std::size_t> refusals(refusal_reason reason) const;
     void clearRefusals();
-    /// Requests with other parts that were refused for an isolated part.
+    /// Sound requests that were refused because they, or a part of them, were taken for the cause of crashes.
     std::size_t refusedSoundRequests() const;
+    /// Sound requests that failed, and failed again when their callers repeated them.
+    std::size_t failedSoundRequests() const;
     std::size_t answered(std::uint64_t part) const;
     /// Most parts and runners in one message between VMs.
     std::size_t largestMessage() const;
@@ -75,9 +81,22 @@
     struct vm;
     struct attempt;
     struct message;
+    struct known_request {
+        forward_request content;
+        std::uint64_t part = 0;
+        bool isCrashing = false;
+        bool isRepeated = false;
+    };
+    struct planned_repeat {
+        steady_time at;
+        known_request request;
+    };
 
     void step();
     void start(std::size_t number);
+    void sendKnown(std::size_t number, known_request request);
+    void repeatFailed();
+    void refused(std::size_t number, const refuse_forward &action);
     void handle(std::size_t number, event event);
     void apply(std::size_t number, const action_list &actions);
     void startForward(std::size_t number, const start_forward &action);
@@ -101,7 +120,9 @@
     std::size_t m_runnerNumber = 0;
     std::vector<attempt> m_attempts;
     std::vector<message> m_messages;
-    std::map<std::string, std::uint64_t> m_partByRequest;
+    std::map<std::string, known_request> m_known;
+    std::deque<planned_repeat> m_repeats;
+    std::size_t m_failedSoundRequests = 0;
     std::vector<steady_time> m_crashes;
     std::vector<sent_request> m_sent;
     std::map<refusal_reason, std::map<std::size_t, std::size_t>> m_refusals;
