--- a/src/plugins/forwarding/crash_suspects.h
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -3,7 +3,7 @@
 #include "kernel/action.h"
 #include "kernel/event.h"
 #include "plugins/forwarding/runner_crash_detector.h"
-#include "plugins/forwarding/suspect_table.h"
+#include "plugins/forwarding/suspect_group.h"
 #include "services/backend_picker.h"
 #include "services/member_view.h"
 
@@ -62,7 +62,7 @@
     void describe(nlohmann::json &status) const;
 
 private:
-    using part_id = suspect_table::part_id;
+    using part_id = suspect_group::suspect_id;
 
     struct attempt {
         std::vector<prompt_part> prompt;
@@ -75,42 +75,24 @@
     };
 
     steady_time now() const;
-    suspect_table::crash_check crashCheck() const;
     runner_key keyOf(const runner_id &runner) const;
     attempt *find(attempt_number attempt);
     void noteSignOfLife(const attempt &attempt);
     void noteSound(const std::vector<prompt_part> &prompt);
-    void addSound(part_id part, steady_time at);
-    void mergePart(const crash_evidence::part &part);
-    void mergeIsolation(const crash_evidence::part &part);
-    bool mayProbe(part_id part, const suspect_table::isolation &isolation) const;
-    /// Whether this is one of the entry VMs whose requests may be a probe in this time slot. All VMs compute the same
-    /// order of VMs.
-    bool isProber(part_id part, unsigned probes, std::int64_t slot) const;
     void detectCrashes();
-    void isolateParts();
-    void repeatIsolations();
     void send(action_list &actions);
-    crash_evidence::part describePart(part_id part) const;
-    std::vector<part_id> takeChangedParts();
-    void logPart(std::string_view event, part_id part, std::string_view source);
 
     environment m_environment;
-    suspect_table m_parts;
     runner_crash_detector m_runners;
+    suspect_group m_parts;
     std::unordered_map<attempt_number, attempt> m_attempts;
     std::unordered_map<runner_id, std::int64_t> m_startTimes;
-    /// Parts and runners of which the connected entry VMs don't have the newest evidence yet, with the time from which
-    /// it may be sent.
-    std::unordered_map<part_id, steady_time> m_changedParts;
+    /// Runners of which the connected entry VMs don't have the newest evidence yet.
     std::set<runner_key> m_changedRunners;
-    std::set<part_id> m_loggedSuspects;
     std::vector<log_decision> m_log;
     steady_time m_nextCheck;
     steady_time m_nextSend;
-    steady_time m_nextRepetition;
     steady_time m_checkUntil;
-    bool m_hasNewIsolations = false;
 };
 
 } // namespace crocuslane
