Isolate requests that crash runners each time they come

Cause: evidence was attached to shared parts of prompts, which sound answers clear; nothing related a request to its repeats under other ids.

Change: fingerprints are suspects of their own (three ended runners, exchanged as parts are), refused at once as request_isolated, released by a probe's answer. It works because a fingerprint holds over VMs and ids and no sound request has it. A request is isolated only when it leads those that lost the same runners, so that sound ones beside it aren't.

--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -179,6 +179,8 @@
     attempts_exhausted_may_have_run,
     /// The prompt has a part that crashes runners.
     prompt_part_isolated,
+    /// The request crashed runners when it came before.
+    request_isolated,
     /// The limits of all runners leave the request no time to start.
     runners_at_limit,
 };
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -39,6 +39,7 @@
     {refusal_reason::attempts_exhausted_not_run, "attempts_exhausted_not_run"},
     {refusal_reason::attempts_exhausted_may_have_run, "attempts_exhausted_may_have_run"},
     {refusal_reason::prompt_part_isolated, "prompt_part_isolated"},
+    {refusal_reason::request_isolated, "request_isolated"},
     {refusal_reason::runners_at_limit, "runners_at_limit"},
 });
 
--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -103,8 +103,8 @@
 /// The properties of a forwarded request that decisions depend on. The edge keeps its header and body.
 struct forward_request {
     request_id request;
-    /// Hash of the caller's key, the method, host, path with query, and body: equal for a request that comes again under
-    /// another id.
+    /// Hash of the caller's key, the method, host, path with query, and body: equal for a request that comes again
+    /// under another id.
     std::uint64_t fingerprint = 0;
     std::string host;
     /// Without the query.
--- a/src/libs/kernel/peer_message.h
+++ b/src/libs/kernel/peer_message.h
@@ -169,8 +169,8 @@
     std::vector<version_evidence> entries;
 };
 
-/// What entry VMs know of prompt parts under which runners ended, and of the runners that ended. Each VM forwards what
-/// is new to it. Ages are at the time of sending.
+/// What entry VMs know of prompt parts and requests under which runners ended, and of the runners that ended. Each VM
+/// forwards what is new to it. Ages are at the time of sending.
 struct crash_evidence {
     struct lost_attempt {
         /// Hash of the runner's id and start time.
@@ -195,6 +195,8 @@
         /// Time since a request with the part was last answered; empty when the sender knows of no answer.
         std::optional<std::chrono::milliseconds> soundAge;
         std::optional<isolation> isolated;
+        /// The id is the fingerprint of a request, not that of a part.
+        bool isRequest = false;
     };
     struct crashed_runner {
         std::uint64_t runner = 0;
--- a/src/libs/wire/envelope_codec.cpp
+++ b/src/libs/wire/envelope_codec.cpp
@@ -317,7 +317,8 @@
                                                  part.soundAge ? wireAge(*part.soundAge) : -1LL,
                                                  part.isolated ? wireAge(isolation.age) : -1LL,
                                                  wireAge(isolation.refusalAge),
-                                                 isolation.probes));
+                                                 isolation.probes,
+                                                 part.isRequest));
     }
     std::vector<wire::crashed_runner> runners;
     for (const crash_evidence::crashed_runner &runner : message.runners) {
@@ -573,6 +574,7 @@
 {
     crash_evidence::part result;
     result.id = part.id();
+    result.isRequest = part.is_request();
     result.position = part.position();
     for (std::size_t index = 0; index < sizeOf(part.losses()); ++index) {
         const wire::lost_attempt &loss = *part.losses()->Get(static_cast<flatbuffers::uoffset_t>(index));
--- a/src/libs/wire/envelope_generated.hpp
+++ b/src/libs/wire/envelope_generated.hpp
@@ -2013,7 +2013,8 @@
     VT_SOUND_AGE_MS = 10,
     VT_ISOLATION_AGE_MS = 12,
     VT_REFUSAL_AGE_MS = 14,
-    VT_PROBES = 16
+    VT_PROBES = 16,
+    VT_IS_REQUEST = 18
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2036,6 +2037,9 @@
   uint32_t probes() const {
     return GetField<uint32_t>(VT_PROBES, 0);
   }
+  bool is_request() const {
+    return GetField<uint8_t>(VT_IS_REQUEST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2046,6 +2050,7 @@
            VerifyField<int64_t>(verifier, VT_ISOLATION_AGE_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_REFUSAL_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PROBES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REQUEST, 1) &&
            verifier.EndTable();
   }
 };
@@ -2075,6 +2080,9 @@
   void add_probes(uint32_t probes) {
     fbb_.AddElement<uint32_t>(suspect_part::VT_PROBES, probes, 0);
   }
+  void add_is_request(bool is_request) {
+    fbb_.AddElement<uint8_t>(suspect_part::VT_IS_REQUEST, static_cast<uint8_t>(is_request), 0);
+  }
   explicit suspect_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2094,7 +2102,8 @@
     int64_t sound_age_ms = -1LL,
     int64_t isolation_age_ms = -1LL,
     uint32_t refusal_age_ms = 0,
-    uint32_t probes = 0) {
+    uint32_t probes = 0,
+    bool is_request = false) {
   suspect_partBuilder builder_(_fbb);
   builder_.add_isolation_age_ms(isolation_age_ms);
   builder_.add_sound_age_ms(sound_age_ms);
@@ -2103,6 +2112,7 @@
   builder_.add_refusal_age_ms(refusal_age_ms);
   builder_.add_losses(losses);
   builder_.add_position(position);
+  builder_.add_is_request(is_request);
   return builder_.Finish();
 }
 
@@ -2119,7 +2129,8 @@
     int64_t sound_age_ms = -1LL,
     int64_t isolation_age_ms = -1LL,
     uint32_t refusal_age_ms = 0,
-    uint32_t probes = 0) {
+    uint32_t probes = 0,
+    bool is_request = false) {
   auto losses__ = losses ? _fbb.CreateVectorOfStructs<crocuslane::wire::lost_attempt>(*losses) : 0;
   return crocuslane::wire::Createsuspect_part(
       _fbb,
@@ -2129,7 +2140,8 @@
       sound_age_ms,
       isolation_age_ms,
       refusal_age_ms,
-      probes);
+      probes,
+      is_request);
 }
 
 struct crash_evidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/libs/wire/fuzz/write_seeds.cpp
+++ b/src/libs/wire/fuzz/write_seeds.cpp
@@ -44,7 +44,7 @@
         configuration_text{12, 99, "[service a]\n"},
         stream_part{"s", 4, 9, {}, {}, {{"key", "value", 5}, {"other", {}, 8}}},
         version_evidence_list{{{vm_id("vm-4"), 8, 12, service_id("model"), 6, {{77, {5, 2, {}}, {70, 4, {}}}}}}},
-        crash_evidence{{{7, 1, {{8, 9, {}}}, {}, crash_evidence::isolation{}}}, {{8, {}}}},
+        crash_evidence{{{7, 1, {{8, 9, {}}}, {}, crash_evidence::isolation{}, true}}, {{8, {}}}},
         runner_limits{{{7, 1.5, {}}, {8, {}, {}}}}};
     std::vector<std::string> inputs;
     std::string stream;
--- a/src/libs/wire/tests/envelope_codec_test.cpp
+++ b/src/libs/wire/tests/envelope_codec_test.cpp
@@ -141,6 +141,7 @@
     crash_evidence sent;
     sent.parts.push_back({0xffffffffffffffff, 2, {{0xeeeeeeeeeeeeeeee, 7, 120ms}, {5, 8, 3ms}}, 40ms, {}});
     sent.parts.push_back({6, 0, {}, {}, crash_evidence::isolation{900ms, 30ms, 2}});
+    sent.parts[0].isRequest = true;
     sent.runners = {{0xeeeeeeeeeeeeeeee, 110ms}};
     const auto read = std::get<crash_evidence>(roundTrip(sent));
     REQUIRE(read.parts.size() == 2);
@@ -150,6 +151,7 @@
     CHECK((first.losses[0].runner == 0xeeeeeeeeeeeeeeee && first.losses[0].request == 7));
     CHECK((first.losses[0].age == 120ms && first.losses[1].age == 3ms));
     const crash_evidence::part &second = read.parts[1];
+    CHECK((first.isRequest && !second.isRequest));
     CHECK((second.id == 6 && second.losses.empty() && !second.soundAge));
     REQUIRE(second.isolated);
     CHECK((second.isolated->age == 900ms && second.isolated->refusalAge == 30ms && second.isolated->probes == 2));
--- a/src/plugins/forwarding/crash_suspects.cpp
+++ b/src/plugins/forwarding/crash_suspects.cpp
@@ -12,9 +12,13 @@
 
 constexpr std::chrono::milliseconds checkInterval{100};
 constexpr std::chrono::milliseconds sendInterval{250};
+// A runner that ends this close to the end of an attempt may have ended by it.
+constexpr std::chrono::milliseconds cancelledCrashTime{500};
+constexpr std::size_t maximumCancelled = 1024;
 // Whether a runner ended shows within this time after a loss.
 constexpr std::chrono::seconds crashCheckTime{7};
 constexpr std::size_t maximumPartsPerMessage = 24;
+constexpr std::size_t maximumRequestsPerMessage = 24;
 constexpr std::size_t maximumRunnersPerMessage = 32;
 constexpr std::size_t maximumLogLines = 64;
 // An answer is under way once this many of its events have arrived. The first may arrive although its runner ends.
@@ -26,6 +30,8 @@
 constexpr unsigned maximumLostRunnersOfSuspect = 2;
 constexpr suspect_log_names partNames{
     "part", "prompt_part_suspected", "prompt_part_isolated", "prompt_part_probed", "prompt_part_released"};
+constexpr suspect_log_names requestNames{
+    "fingerprint", "request_suspected", "request_isolated", "request_probed", "request_released"};
 
 std::uint64_t hashOf(const std::string &text)
 {
@@ -41,6 +47,14 @@
     }
 }
 
+void addRequests(crash_evidence &evidence, std::vector<crash_evidence::part> requests)
+{
+    for (crash_evidence::part &request : requests) {
+        request.isRequest = true;
+        evidence.parts.push_back(std::move(request));
+    }
+}
+
 std::chrono::milliseconds ageOf(steady_time time, steady_time now)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(now - time, duration::zero()));
@@ -50,7 +64,9 @@
 
 crash_suspects::crash_suspects(environment environment)
     : m_environment(std::move(environment))
-    , m_parts({m_environment.time, m_environment.self, m_environment.members, &m_runners}, partNames)
+    , m_parts({m_environment.time, m_environment.self, m_environment.members, &m_runners}, partNames, partThresholds)
+    , m_requests(
+          {m_environment.time, m_environment.self, m_environment.members, &m_runners}, requestNames, requestThresholds)
 {
 }
 
@@ -65,42 +81,51 @@
     return crocuslane::keyOf(runner, found == m_startTimes.end() ? 0 : found->second);
 }
 
-crash_suspects::verdict crash_suspects::judge(const std::vector<prompt_part> &prompt)
+crash_suspects::verdict crash_suspects::judge(const forward_request &request)
 {
-    std::optional<part_id> isolated;
-    bool mayProbe = true;
-    forSharedParts(prompt, [&](part_id part, unsigned /*position*/) {
+    const std::optional<refusal_reason> reason = isolation(request);
+    if (!reason) {
+        return verdict::allowed;
+    }
+    std::optional<part_id> isolatedPart;
+    bool mayProbe = m_requests.noteRefusal(request.fingerprint);
+    forSharedParts(request.prompt, [&](part_id part, unsigned /*position*/) {
         if (m_parts.isIsolated(part)) {
             mayProbe = m_parts.noteRefusal(part) && mayProbe;
-            isolated = part;
+            isolatedPart = part;
         }
     });
-    if (!isolated) {
-        return verdict::allowed;
-    }
     if (!mayProbe) {
-        return verdict::isolated;
+        return *reason == refusal_reason::request_isolated ? verdict::request_isolated : verdict::part_isolated;
+    }
+    m_requests.noteProbe(request.fingerprint);
+    if (isolatedPart) {
+        m_parts.noteProbe(*isolatedPart);
     }
-    m_parts.noteProbe(*isolated);
     m_nextSend = now();
     return verdict::probe;
 }
 
-bool crash_suspects::isIsolated(const std::vector<prompt_part> &prompt) const
+std::optional<refusal_reason> crash_suspects::isolation(const forward_request &request) const
 {
-    bool result = false;
-    forSharedParts(prompt, [&](part_id part, unsigned /*position*/) { result = result || m_parts.isIsolated(part); });
-    return result;
+    if (m_requests.isIsolated(request.fingerprint)) {
+        return refusal_reason::request_isolated;
+    }
+    bool hasIsolatedPart = false;
+    forSharedParts(request.prompt, [&](part_id part, unsigned /*position*/) {
+        hasIsolatedPart = hasIsolatedPart || m_parts.isIsolated(part);
+    });
+    return hasIsolatedPart ? std::optional(refusal_reason::prompt_part_isolated) : std::nullopt;
 }
 
-bool crash_suspects::mayRepeat(const std::vector<prompt_part> &prompt, unsigned lostRunners) const
+bool crash_suspects::mayRepeat(const forward_request &request, unsigned lostRunners) const
 {
-    if (isIsolated(prompt)) {
+    if (isolation(request) || m_requests.isSuspect(request.fingerprint)) {
         return false;
     }
     bool isSuspect = false;
     if (lostRunners >= maximumLostRunnersOfSuspect) {
-        forSharedParts(prompt,
+        forSharedParts(request.prompt,
                        [&](part_id part, unsigned /*position*/) { isSuspect = isSuspect || m_parts.isSuspect(part); });
     }
     return !isSuspect;
@@ -108,13 +133,14 @@
 
 void crash_suspects::attemptStarted(attempt_number number, const forward_request &request, const runner_id &runner)
 {
-    if (request.prompt.size() < 2) {
+    if (request.prompt.size() < 2 && request.fingerprint == 0) {
         return;
     }
     attempt started;
     started.prompt = request.prompt;
     started.runner = runner;
     started.key = keyOf(runner);
+    started.fingerprint = request.fingerprint;
     started.request = static_cast<std::uint32_t>(hashOf(request.request.value()));
     m_runners.attemptStarted(number, started.key, now());
     m_attempts[number] = std::move(started);
@@ -130,6 +156,7 @@
 {
     if (m_runners.noteSignOfLife(attempt.key, now())) {
         m_parts.eraseLosses(attempt.key);
+        m_requests.eraseLosses(attempt.key);
     }
 }
 
@@ -156,7 +183,7 @@
     }
     if (found->events == eventsUnderWay || now() - found->soundNotedAt >= soundNoteInterval) {
         found->soundNotedAt = now();
-        noteSound(found->prompt);
+        noteSound(*found);
     }
 }
 
@@ -173,8 +200,14 @@
     if (isUnderWay) {
         return false;
     }
+    if (found->fingerprint != 0) {
+        m_requests.addLoss(found->fingerprint, 0, {found->key, found->request, now()});
+    }
+    // One request that comes again under other ids is no proof against its parts.
+    const std::uint32_t request =
+        found->fingerprint == 0 ? found->request : static_cast<std::uint32_t>(found->fingerprint);
     forSharedParts(found->prompt, [&](part_id part, unsigned position) {
-        m_parts.addLoss(part, position, {found->key, found->request, now()});
+        m_parts.addLoss(part, position, {found->key, request, now()});
     });
     return true;
 }
@@ -189,7 +222,7 @@
     }
     if (found != nullptr && (!isStream || found->events > maximumEventsOfLoss)) {
         noteSignOfLife(*found);
-        noteSound(found->prompt);
+        noteSound(*found);
     }
 }
 
@@ -200,15 +233,24 @@
         return;
     }
     m_runners.attemptEnded(number, found->second.key);
+    const attempt &ended = found->second;
     if (end == attempt_end::not_sent) {
-        m_runners.connectionRefused(found->second.key, now());
+        m_runners.connectionRefused(ended.key, now());
+    } else if (end == attempt_end::cancelled && ended.fingerprint != 0 && ended.events <= maximumEventsOfLoss) {
+        m_cancelled.push_back({ended.key, ended.fingerprint, ended.request, now()});
+        if (m_cancelled.size() > maximumCancelled) {
+            m_cancelled.pop_front();
+        }
     }
     m_attempts.erase(found);
 }
 
-void crash_suspects::noteSound(const std::vector<prompt_part> &prompt)
+void crash_suspects::noteSound(const attempt &attempt)
 {
-    forSharedParts(prompt, [&](part_id part, unsigned /*position*/) { m_parts.addSound(part, now()); });
+    if (attempt.fingerprint != 0) {
+        m_requests.addSound(attempt.fingerprint, now());
+    }
+    forSharedParts(attempt.prompt, [&](part_id part, unsigned /*position*/) { m_parts.addSound(part, now()); });
 }
 
 void crash_suspects::setListed(const backend_list_read &list)
@@ -237,7 +279,7 @@
             m_runners.attemptLostElsewhere(loss.runner, now() - loss.age);
             m_checkUntil = now() + crashCheckTime;
         }
-        m_parts.merge(part);
+        (part.isRequest ? m_requests : m_parts).merge(part);
     }
 }
 
@@ -245,6 +287,7 @@
 {
     crash_evidence evidence;
     evidence.parts = m_parts.describeIsolated();
+    addRequests(evidence, m_requests.describeIsolated());
     if (!evidence.parts.empty()) {
         actions.push_back(send_to_peer{peer, std::move(evidence)});
     }
@@ -256,13 +299,34 @@
         m_nextCheck = now() + checkInterval;
         m_runners.expire(now());
         detectCrashes();
+        countCancelled();
         m_parts.check();
+        m_requests.check();
         send(actions);
     }
     std::move(m_log.begin(), m_log.end(), std::back_inserter(actions));
     m_log.clear();
-    const std::vector<log_decision> lines = m_parts.takeLog();
-    actions.insert(actions.end(), lines.begin(), lines.end());
+    for (suspect_group *group : {&m_parts, &m_requests}) {
+        const std::vector<log_decision> lines = group->takeLog();
+        actions.insert(actions.end(), lines.begin(), lines.end());
+    }
+}
+
+// A request may crash its runner with the first part of its answer, which is enough to cancel the attempt and ask a
+// larger model.
+void crash_suspects::countCancelled()
+{
+    while (!m_cancelled.empty() && now() - m_cancelled.front().at > crashCheckTime) {
+        m_cancelled.pop_front();
+    }
+    std::erase_if(m_cancelled, [this](const cancelled_attempt &each) {
+        const std::optional<steady_time> crash = m_runners.crashTime(each.runner);
+        if (!crash || *crash < each.at - cancelledCrashTime || *crash > each.at + cancelledCrashTime) {
+            return false;
+        }
+        m_requests.addLoss(each.fingerprint, 0, {each.runner, each.request, *crash});
+        return true;
+    });
 }
 
 void crash_suspects::detectCrashes()
@@ -285,6 +349,7 @@
     }
     crash_evidence evidence;
     evidence.parts = m_parts.takeChanges(maximumPartsPerMessage);
+    addRequests(evidence, m_requests.takeChanges(maximumRequestsPerMessage));
     while (!m_changedRunners.empty() && evidence.runners.size() < maximumRunnersPerMessage) {
         const runner_key runner = *m_changedRunners.begin();
         m_changedRunners.erase(m_changedRunners.begin());
@@ -306,14 +371,15 @@
 
 steady_time crash_suspects::nextDeadline() const
 {
-    const bool isActive = !m_log.empty() || m_parts.hasChanges() || !m_changedRunners.empty() || m_parts.hasSuspects()
+    const bool isActive = !m_log.empty() || !m_changedRunners.empty() || m_parts.isActive() || m_requests.isActive()
         || now() < m_checkUntil;
     return isActive ? m_nextCheck : steady_time::max();
 }
 
 bool crash_suspects::takeIsolationsAdded()
 {
-    return m_parts.takeIsolationsAdded();
+    const bool hasParts = m_parts.takeIsolationsAdded();
+    return m_requests.takeIsolationsAdded() || hasParts;
 }
 
 void crash_suspects::describe(nlohmann::json &status) const
@@ -321,6 +387,7 @@
     for (const part_id part : m_parts.isolated()) {
         status["isolated_parts"].push_back(fmt::format("{:x}", part));
     }
+    status["isolated_requests"] = m_requests.isolated().size();
 }
 
 } // namespace crocuslane
--- a/src/plugins/forwarding/crash_suspects.h
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -9,13 +9,15 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <deque>
 #include <set>
 #include <unordered_map>
 
 namespace crocuslane {
 
-/// Finds prompt parts that crash the runners that begin to answer them, together with the other entry VMs, and decides
-/// which requests are refused for them. The last part of a prompt is never suspected: it is the request's own.
+/// Finds prompt parts that crash the runners that begin to answer them, and requests that crash runners each time they
+/// come, together with the other entry VMs, and decides which requests are refused for them. The last part of a prompt
+/// is never suspected: it is the request's own.
 class crash_suspects
 {
 public:
@@ -27,18 +29,20 @@
     };
     enum class verdict {
         allowed,
-        /// The request has an isolated part and is sent once to find out whether that part still crashes runners.
+        /// The request or a part of it is isolated, and it is sent once to find out whether it still crashes runners.
         probe,
-        isolated,
+        part_isolated,
+        request_isolated,
     };
 
     explicit crash_suspects(environment environment);
 
     /// Decides about a new request.
-    verdict judge(const std::vector<prompt_part> &prompt);
-    bool isIsolated(const std::vector<prompt_part> &prompt) const;
+    verdict judge(const forward_request &request);
+    /// Why the request is refused; empty when neither it nor a part of it is isolated.
+    std::optional<refusal_reason> isolation(const forward_request &request) const;
     /// Whether a request may be sent to another runner after @p lostRunners were lost under it.
-    bool mayRepeat(const std::vector<prompt_part> &prompt, unsigned lostRunners) const;
+    bool mayRepeat(const forward_request &request, unsigned lostRunners) const;
 
     void attemptStarted(attempt_number attempt, const forward_request &request, const runner_id &runner);
     void headReceived(attempt_number attempt);
@@ -68,24 +72,39 @@
         std::vector<prompt_part> prompt;
         runner_id runner;
         runner_key key = 0;
+        std::uint64_t fingerprint = 0;
+        /// Hash of the request's id.
         std::uint32_t request = 0;
         unsigned events = 0;
         steady_time firstEventAt;
         steady_time soundNotedAt;
     };
 
+    /// An attempt that this VM cancelled before the answer was under way.
+    struct cancelled_attempt {
+        runner_key runner = 0;
+        std::uint64_t fingerprint = 0;
+        std::uint32_t request = 0;
+        steady_time at;
+    };
+
     steady_time now() const;
     runner_key keyOf(const runner_id &runner) const;
     attempt *find(attempt_number attempt);
     void noteSignOfLife(const attempt &attempt);
-    void noteSound(const std::vector<prompt_part> &prompt);
+    void noteSound(const attempt &attempt);
     void detectCrashes();
+    /// Counts the cancelled attempts whose runner has ended at that time.
+    void countCancelled();
     void send(action_list &actions);
 
     environment m_environment;
     runner_crash_detector m_runners;
     suspect_group m_parts;
+    suspect_group m_requests;
     std::unordered_map<attempt_number, attempt> m_attempts;
+    /// The oldest first.
+    std::deque<cancelled_attempt> m_cancelled;
     std::unordered_map<runner_id, std::int64_t> m_startTimes;
     /// Runners of which the connected entry VMs don't have the newest evidence yet.
     std::set<runner_key> m_changedRunners;
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -19,8 +19,8 @@
 constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
 // Other entry VMs can take the request at once.
 constexpr std::chrono::milliseconds retryAfterWhenStopping{50};
-// A request with an isolated prompt part is refused again until the part is released, which takes half a minute at
-// least.
+// An isolated request, or one with an isolated prompt part, is refused again until the release, which takes half a
+// minute at least.
 constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
 // Assumed length of an answer when the caller states neither an estimate nor a maximum.
 constexpr std::uint32_t defaultOutputTokens = 200;
@@ -102,12 +102,19 @@
     setModel(created, isModelChosenHere ? route.models.front().value() : std::string());
     created.lastEvent = request.resumeAfter;
     if (m_environment.suspects != nullptr) {
-        const crash_suspects::verdict verdict = m_environment.suspects->judge(request.prompt);
-        if (verdict == crash_suspects::verdict::isolated) {
+        switch (m_environment.suspects->judge(request)) {
+        case crash_suspects::verdict::part_isolated:
             refuse(created, refusal_reason::prompt_part_isolated, actions);
             return;
+        case crash_suspects::verdict::request_isolated:
+            refuse(created, refusal_reason::request_isolated, actions);
+            return;
+        case crash_suspects::verdict::probe:
+            created.isProbe = true;
+            break;
+        case crash_suspects::verdict::allowed:
+            break;
         }
-        created.isProbe = verdict == crash_suspects::verdict::probe;
     }
     m_retryBudget.recordRequest(created.service, now());
     active_request &added = m_activeRequests.insert_or_assign(request.request, std::move(created)).first->second;
@@ -510,8 +517,8 @@
 {
     const bool isAllowed =
         !active.hasUnnumberedEvent && (isRepeatable(active.route().kind) || active.attemptsThatMayHaveRun == 0);
-    const bool mayRepeat = m_environment.suspects == nullptr
-        || m_environment.suspects->mayRepeat(active.request.prompt, active.lostRunners);
+    const bool mayRepeat =
+        m_environment.suspects == nullptr || m_environment.suspects->mayRepeat(active.request, active.lostRunners);
     return isAllowed && mayRepeat && active.attempts < active.route().maximumAttempts
         && active.deadline - now() > minimumTimeLeft;
 }
@@ -521,8 +528,7 @@
     const bool isFirstAttempt = active.attempts == 0;
     if (!mayRetry(active) || (!isFirstAttempt && !m_retryBudget.tryTake(active.service, vmCount(), now()))) {
         endWithoutAnswer(active,
-                         isIsolated(active) ? refusal_reason::prompt_part_isolated
-                                            : refusal_reason::attempts_exhausted_not_run,
+                         isolation(active).value_or(refusal_reason::attempts_exhausted_not_run),
                          refusal_reason::attempts_exhausted_may_have_run,
                          actions);
         return;
@@ -636,7 +642,7 @@
     if (reason == refusal_reason::stopping) {
         return retryAfterWhenStopping;
     }
-    if (reason == refusal_reason::prompt_part_isolated) {
+    if (reason == refusal_reason::prompt_part_isolated || reason == refusal_reason::request_isolated) {
         return isolatedRetryAfter + std::chrono::milliseconds(m_environment.random->below(isolatedRetryAfter.count()));
     }
     // The jitter keeps callers that were refused together from retrying together.
@@ -679,22 +685,23 @@
     });
 }
 
-bool forward_flow::isIsolated(const active_request &active) const
+std::optional<refusal_reason> forward_flow::isolation(const active_request &active) const
 {
-    return m_environment.suspects != nullptr && m_environment.suspects->isIsolated(active.request.prompt);
+    return m_environment.suspects == nullptr ? std::nullopt : m_environment.suspects->isolation(active.request);
 }
 
 void forward_flow::refuseIsolated(action_list &actions)
 {
     std::vector<request_id> isolated;
     for (const auto &[id, active] : m_activeRequests) {
-        if (!active.current && !active.isProbe && isIsolated(active)) {
+        if (!active.current && !active.isProbe && isolation(active)) {
             isolated.push_back(id);
         }
     }
     for (const request_id &id : isolated) {
-        endWithoutAnswer(m_activeRequests.at(id),
-                         refusal_reason::prompt_part_isolated,
+        active_request &active = m_activeRequests.at(id);
+        endWithoutAnswer(active,
+                         isolation(active).value_or(refusal_reason::prompt_part_isolated),
                          refusal_reason::attempts_exhausted_may_have_run,
                          actions);
     }
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -39,7 +39,7 @@
     void fail(const forward_failed &failed, action_list &actions);
     /// Starts queued requests after a runner may have gained free capacity, or after the list of runners changed.
     void dispatchWaiting(action_list &actions);
-    /// Refuses the waiting requests whose prompt has an isolated part.
+    /// Refuses the waiting requests that are isolated, or whose prompt has an isolated part.
     void refuseIsolated(action_list &actions);
     /// Handles the requests whose deadline, queue timeout or silence timeout has expired.
     void expire(action_list &actions);
@@ -108,7 +108,8 @@
     void refuse(active_request &active, refusal_reason reason, action_list &actions);
     void finish(active_request &active, std::string_view outcome, action_list &actions);
     void scheduleDeadline(const active_request &active);
-    bool isIsolated(const active_request &active) const;
+    /// Why the request is refused for crashes; empty when it isn't.
+    std::optional<refusal_reason> isolation(const active_request &active) const;
     duration retryAfter(refusal_reason reason) const;
     std::size_t vmCount() const;
     active_request *findByAttempt(attempt_number attempt);
--- a/src/plugins/forwarding/suspect_group.cpp
+++ b/src/plugins/forwarding/suspect_group.cpp
@@ -54,9 +54,12 @@
 
 } // namespace
 
-suspect_group::suspect_group(environment environment, const suspect_log_names &names)
+suspect_group::suspect_group(environment environment,
+                             const suspect_log_names &names,
+                             const suspect_table::thresholds &thresholds)
     : m_environment(std::move(environment))
     , m_names(names)
+    , m_table(thresholds)
 {
 }
 
@@ -315,14 +318,9 @@
                                   {"probes", std::to_string(probes)}}});
 }
 
-bool suspect_group::hasChanges() const
+bool suspect_group::isActive() const
 {
-    return !m_changed.empty() || !m_log.empty();
-}
-
-bool suspect_group::hasSuspects() const
-{
-    return !m_table.suspects().empty();
+    return !m_changed.empty() || !m_log.empty() || !m_table.suspects().empty();
 }
 
 std::vector<crash_evidence::part> suspect_group::describeIsolated() const
--- a/src/plugins/forwarding/suspect_group.h
+++ b/src/plugins/forwarding/suspect_group.h
@@ -38,7 +38,7 @@
         const runner_crash_detector *runners = nullptr;
     };
 
-    suspect_group(environment environment, const suspect_log_names &names);
+    suspect_group(environment environment, const suspect_log_names &names, const suspect_table::thresholds &thresholds);
 
     bool isIsolated(suspect_id id) const;
     bool isSuspect(suspect_id id) const;
@@ -53,8 +53,8 @@
 
     /// Isolates suspects, releases those without requests, and schedules isolations to be sent again.
     void check();
-    bool hasChanges() const;
-    bool hasSuspects() const;
+    /// Whether check() or takeChanges() may have something to do.
+    bool isActive() const;
     /// What the connected VMs don't know yet, up to @p most entries.
     std::vector<crash_evidence::part> takeChanges(std::size_t most);
     std::vector<crash_evidence::part> describeIsolated() const;
--- a/src/plugins/forwarding/suspect_table.cpp
+++ b/src/plugins/forwarding/suspect_table.cpp
@@ -7,32 +7,32 @@
 
 namespace {
 
-// A part that was never answered is isolated when this many runners ended under it, by this many requests.
-// Where each runner has few requests, only its entry in the list shows seconds later that it ended, so that losses
-// count that may be single answers.
-constexpr unsigned runnersBeforeIsolation = 4;
-constexpr unsigned unconfirmedRunnersBeforeIsolation = 6;
-constexpr unsigned requestsBeforeIsolation = 2;
-// More are needed for a part with a sound answer within soundMemory: sound requests that wait at a runner when it ends
-// lose it as well, and a part that many of them share is lost at several runners in a row.
-constexpr unsigned runnersBeforeIsolationOfSoundPart = 6;
-constexpr unsigned requestsBeforeIsolationOfSoundPart = 3;
 constexpr std::chrono::seconds soundMemory{30};
 constexpr std::chrono::seconds soundSweepInterval{5};
 // Other VMs that know of a sound answer have this time to say so.
 constexpr std::chrono::milliseconds objectionTime{600};
-constexpr unsigned runnersBeforeSuspicion = 3;
 constexpr std::chrono::seconds lossLifetime{60};
-// An isolation ends when no request with the part came for this time.
-constexpr std::chrono::minutes isolationLifetime{10};
 constexpr std::chrono::milliseconds reportInaccuracy{1000};
 constexpr std::size_t maximumSuspects = 2048;
 constexpr std::size_t maximumSoundParts = 32768;
-constexpr std::size_t maximumIsolated = 32;
 constexpr std::size_t maximumLossesPerPart = 16;
 
+bool sharesRunner(const std::vector<suspect_table::loss> &left, const std::vector<suspect_table::loss> &right)
+{
+    return std::any_of(left.begin(), left.end(), [&right](const suspect_table::loss &each) {
+        return std::any_of(right.begin(), right.end(), [&each](const suspect_table::loss &other) {
+            return other.runner == each.runner;
+        });
+    });
+}
+
 } // namespace
 
+suspect_table::suspect_table(const thresholds &thresholds)
+    : m_thresholds(thresholds)
+{
+}
+
 bool suspect_table::addLoss(part_id part, unsigned position, const loss &loss, steady_time now)
 {
     const std::optional<steady_time> sound = lastSound(part);
@@ -108,17 +108,21 @@
 
 bool suspect_table::isExplained(std::uint64_t runner, part_id part) const
 {
-    return std::any_of(m_suspects.begin(), m_suspects.end(), [runner, part](const auto &each) {
-        const auto &[id, suspect] = each;
-        return suspect.isolated && id != part
-            && std::any_of(suspect.losses.begin(), suspect.losses.end(), [runner](const loss &loss) {
-                   return loss.runner == runner;
-               });
-    });
+    return !m_thresholds.needsLead
+        && std::any_of(m_suspects.begin(), m_suspects.end(), [runner, part](const auto &each) {
+               const auto &[id, suspect] = each;
+               return suspect.isolated && id != part
+                   && std::any_of(suspect.losses.begin(), suspect.losses.end(), [runner](const loss &loss) {
+                          return loss.runner == runner;
+                      });
+           });
 }
 
 void suspect_table::explainLosses(part_id isolated)
 {
+    if (m_thresholds.needsLead) {
+        return;
+    }
     const std::vector<loss> &explained = m_suspects[isolated].losses;
     eraseLossesIf([&explained](const loss &loss) {
         return std::any_of(explained.begin(), explained.end(), [&loss](const suspect_table::loss &other) {
@@ -142,7 +146,7 @@
     const std::optional<steady_time> sound = lastSound(part);
     // Both times may come from other VMs, late by the time in transit.
     const bool wasAnswered = sound && *sound + reportInaccuracy >= isolation.since;
-    if (findIsolation(part) != nullptr || wasAnswered || isolatedCount() >= maximumIsolated) {
+    if (findIsolation(part) != nullptr || wasAnswered || isolatedCount() >= m_thresholds.isolated) {
         return false;
     }
     suspect &added = m_suspects[part];
@@ -167,14 +171,28 @@
 bool suspect_table::isEnough(part_id part, const counts &counts, steady_time now) const
 {
     if (wasRecentlySound(part, now)) {
-        return counts.runners >= runnersBeforeIsolationOfSoundPart
-            && counts.requests >= requestsBeforeIsolationOfSoundPart;
+        return counts.runners >= m_thresholds.runnersOfSound && counts.requests >= m_thresholds.requestsOfSound;
     }
     // Each runner counts with its share of the number that is enough.
     const unsigned sum =
-        counts.runners * unconfirmedRunnersBeforeIsolation + counts.unconfirmedRunners * runnersBeforeIsolation;
-    return sum >= runnersBeforeIsolation * unconfirmedRunnersBeforeIsolation
-        && counts.requests >= requestsBeforeIsolation;
+        counts.runners * m_thresholds.unconfirmedRunners + counts.unconfirmedRunners * m_thresholds.runners;
+    return sum >= m_thresholds.runners * m_thresholds.unconfirmedRunners && counts.requests >= m_thresholds.requests;
+}
+
+// Until then, requests that were beside the one that crashed their runners can't be told from it. They are answered
+// when they come again, and it loses one more runner.
+bool suspect_table::hasLead(part_id part, const counts &counts, const crash_check &isCrash) const
+{
+    const std::vector<loss> &losses = m_suspects.at(part).losses;
+    const auto isAhead = [&](const suspect &other) {
+        const suspect_table::counts otherCounts = count(other, isCrash);
+        return std::pair(otherCounts.runners, otherCounts.requests) >= std::pair(counts.runners, counts.requests);
+    };
+    return std::none_of(m_suspects.begin(), m_suspects.end(), [&](const auto &each) {
+        const suspect &other = each.second;
+        return each.first != part && other.losses.size() >= losses.size() && sharesRunner(losses, other.losses)
+            && isAhead(other);
+    });
 }
 
 std::optional<suspect_table::part_id> suspect_table::isolateMostSuspect(const crash_check &isCrash, steady_time now)
@@ -187,7 +205,7 @@
             continue;
         }
         const counts counted = count(suspect, isCrash);
-        if (!isEnough(id, counted, now)) {
+        if (!isEnough(id, counted, now) || (m_thresholds.needsLead && !hasLead(id, counted, isCrash))) {
             suspect.eligibleSince.reset();
             continue;
         }
@@ -218,7 +236,7 @@
         return false;
     }
     const counts counted = count(found->second, isCrash);
-    return counted.runners >= runnersBeforeSuspicion && counted.requests >= requestsBeforeIsolation;
+    return counted.runners >= m_thresholds.suspectedRunners && counted.requests >= m_thresholds.requests;
 }
 
 void suspect_table::eraseLosses(std::uint64_t runner)
@@ -230,7 +248,7 @@
 {
     std::vector<part_id> ended;
     for (auto &[id, suspect] : m_suspects) {
-        if (suspect.isolated && now - suspect.isolated->lastRefusal > isolationLifetime) {
+        if (suspect.isolated && now - suspect.isolated->lastRefusal > m_thresholds.isolationLifetime) {
             suspect.isolated.reset();
             ended.push_back(id);
         }
--- a/src/plugins/forwarding/suspect_table.h
+++ b/src/plugins/forwarding/suspect_table.h
@@ -10,13 +10,33 @@
 
 namespace crocuslane {
 
-/// Counts, per prompt part, the runners that ended under it, and isolates a part under which too many ended without a
-/// sound answer. All tables are bounded.
+/// Counts the runners that ended under each suspect, a prompt part or a request, and isolates a suspect under which too
+/// many ended without a sound answer. All tables are bounded.
 class suspect_table
 {
 public:
     using part_id = std::uint64_t;
 
+    /// Numbers of lost runners and of requests that lost them.
+    struct thresholds {
+        /// Known to have ended, under a suspect that was not answered lately.
+        unsigned runners = 0;
+        /// The same, where it is not known of any.
+        unsigned unconfirmedRunners = 0;
+        unsigned requests = 0;
+        /// Known to have ended, under a suspect that was answered lately.
+        unsigned runnersOfSound = 0;
+        unsigned requestsOfSound = 0;
+        /// Before it is suspected.
+        unsigned suspectedRunners = 0;
+        /// An isolation ends when no request with the suspect came for this time.
+        duration isolationLifetime{};
+        std::size_t isolated = 0;
+        /// A suspect is isolated only when it has lost more runners, or more requests, than each other one that lost
+        /// one of the same runners. For suspects of which a request has only one.
+        bool needsLead = false;
+    };
+
     /// An attempt that lost its runner before the answer was under way.
     struct loss {
         std::uint64_t runner = 0;
@@ -53,6 +73,8 @@
     /// Whether the runner of a loss ended at that time.
     using crash_check = std::function<bool(const loss &loss)>;
 
+    explicit suspect_table(const thresholds &thresholds);
+
     /// False when the loss is known, is older than a sound answer, or is explained by an isolated part.
     bool addLoss(part_id part, unsigned position, const loss &loss, steady_time now);
     sound_effect addSound(part_id part, steady_time at, steady_time now);
@@ -83,10 +105,19 @@
     void eraseLossesIf(const std::function<bool(const loss &)> &condition);
     bool wasRecentlySound(part_id part, steady_time now) const;
     bool isEnough(part_id part, const counts &counts, steady_time now) const;
+    bool hasLead(part_id part, const counts &counts, const crash_check &isCrash) const;
 
+    thresholds m_thresholds;
     std::unordered_map<part_id, suspect> m_suspects;
     std::unordered_map<part_id, steady_time> m_lastSound;
     steady_time m_nextSoundSweep;
 };
 
+/// For parts of prompts. Where each runner has few requests, only its entry in the list shows seconds later that it
+/// ended, so that losses count that may be single answers. More are needed for a part that was answered: sound requests
+/// that wait at a runner when it ends lose it as well, and a part that many of them share is lost at several in a row.
+constexpr suspect_table::thresholds partThresholds{4, 6, 2, 6, 3, 3, std::chrono::minutes(10), 32, false};
+/// For requests that come again. One request is enough: it may be the only one that crashes runners.
+constexpr suspect_table::thresholds requestThresholds{3, 4, 1, 3, 1, 3, std::chrono::hours(1), 256, true};
+
 } // namespace crocuslane
--- a/src/plugins/forwarding/tests/crashing_part_test.cpp
+++ b/src/plugins/forwarding/tests/crashing_part_test.cpp
@@ -205,6 +205,7 @@
     suspects.expire(actions);
     clock.advance(1s);
     suspects.expire(actions);
-    CHECK(suspects.isIsolated(request.prompt));
-    CHECK_FALSE(suspects.isIsolated({{simulated_fleet::sharedPart, 100}, {firstSoundPart, 100}, {9, 100}}));
+    CHECK(suspects.isolation(request) == refusal_reason::prompt_part_isolated);
+    request.prompt[1].id = firstSoundPart;
+    CHECK_FALSE(suspects.isolation(request));
 }
--- a/src/plugins/forwarding/tests/simulated_fleet.cpp
+++ b/src/plugins/forwarding/tests/simulated_fleet.cpp
@@ -293,7 +293,9 @@
     if (request.isCrashing) {
         return;
     }
-    m_refusedSoundRequests += action.reason == refusal_reason::prompt_part_isolated ? 1 : 0;
+    const bool isIsolated =
+        action.reason == refusal_reason::prompt_part_isolated || action.reason == refusal_reason::request_isolated;
+    m_refusedSoundRequests += isIsolated ? 1 : 0;
     if (action.reason != refusal_reason::attempts_exhausted_may_have_run) {
         return;
     }
--- a/src/plugins/forwarding/tests/suspect_table_test.cpp
+++ b/src/plugins/forwarding/tests/suspect_table_test.cpp
@@ -32,7 +32,7 @@
     }
 
     manual_clock m_clock;
-    suspect_table m_table;
+    suspect_table m_table{partThresholds};
 };
 
 } // namespace
@@ -168,3 +168,55 @@
     m_table.expire(m_clock.steadyNow());
     CHECK(m_table.suspects().size() <= 32);
 }
+
+namespace {
+
+class suspect_request_fixture : protected suspect_table_fixture
+{
+protected:
+    suspect_request_fixture()
+    {
+        m_table = suspect_table(requestThresholds);
+    }
+
+    static constexpr suspect_table::part_id crashing = 8;
+    static constexpr suspect_table::part_id sound = 9;
+};
+
+} // namespace
+
+// Guards against a request that goes on to crash runners, and against sound ones beside it that are refused with it.
+TEST_CASE_METHOD(suspect_request_fixture, "request, three runners ended, is isolated alone", "[forwarding]")
+{
+    for (std::uint32_t runner = 1; runner <= 3; ++runner) {
+        CHECK_FALSE(isolate());
+        lose(runner, 1, crashing);
+        lose(runner, 2, runner == 3 ? sound + 1 : sound);
+    }
+    CHECK(isolate() == crashing);
+    CHECK(m_table.findIsolation(sound) == nullptr);
+    CHECK_FALSE(isolate());
+}
+
+// Guards against a sound request that is taken for the cause because it was at the same three runners.
+TEST_CASE_METHOD(suspect_request_fixture,
+                 "request, another lost the same runners, is isolated when it leads",
+                 "[forwarding]")
+{
+    for (std::uint32_t runner = 1; runner <= 3; ++runner) {
+        lose(runner, 1, crashing);
+        lose(runner, 2, sound);
+    }
+    CHECK_FALSE(isolate());
+    SECTION("the other is answered")
+    {
+        answer(sound);
+        CHECK(isolate() == crashing);
+    }
+    SECTION("it loses another runner")
+    {
+        lose(4, 3, crashing);
+        CHECK(isolate() == crashing);
+        CHECK_FALSE(isolate());
+    }
+}
