--- a/src/plugins/forwarding/crash_suspects.cpp
+++ b/src/plugins/forwarding/crash_suspects.cpp
@@ -87,9 +87,9 @@
     if (!reason) {
         return verdict::allowed;
     }
-    std::optional<part_id> isolatedPart;
+    std::optional<suspect_id> isolatedPart;
     bool mayProbe = m_requests.noteRefusal(request.fingerprint);
-    forSharedParts(request.prompt, [&](part_id part, unsigned /*position*/) {
+    forSharedParts(request.prompt, [&](suspect_id part, unsigned /*position*/) {
         if (m_parts.isIsolated(part)) {
             mayProbe = m_parts.noteRefusal(part) && mayProbe;
             isolatedPart = part;
@@ -112,7 +112,7 @@
         return refusal_reason::request_isolated;
     }
     bool hasIsolatedPart = false;
-    forSharedParts(request.prompt, [&](part_id part, unsigned /*position*/) {
+    forSharedParts(request.prompt, [&](suspect_id part, unsigned /*position*/) {
         hasIsolatedPart = hasIsolatedPart || m_parts.isIsolated(part);
     });
     return hasIsolatedPart ? std::optional(refusal_reason::prompt_part_isolated) : std::nullopt;
@@ -125,8 +125,9 @@
     }
     bool isSuspect = false;
     if (lostRunners >= maximumLostRunnersOfSuspect) {
-        forSharedParts(request.prompt,
-                       [&](part_id part, unsigned /*position*/) { isSuspect = isSuspect || m_parts.isSuspect(part); });
+        forSharedParts(request.prompt, [&](suspect_id part, unsigned /*position*/) {
+            isSuspect = isSuspect || m_parts.isSuspect(part);
+        });
     }
     return !isSuspect;
 }
@@ -206,7 +207,7 @@
     // One request that comes again under other ids is no proof against its parts.
     const std::uint32_t request =
         found->fingerprint == 0 ? found->request : static_cast<std::uint32_t>(found->fingerprint);
-    forSharedParts(found->prompt, [&](part_id part, unsigned position) {
+    forSharedParts(found->prompt, [&](suspect_id part, unsigned position) {
         m_parts.addLoss(part, position, {found->key, request, now()});
     });
     return true;
@@ -250,7 +251,7 @@
     if (attempt.fingerprint != 0) {
         m_requests.addSound(attempt.fingerprint, now());
     }
-    forSharedParts(attempt.prompt, [&](part_id part, unsigned /*position*/) { m_parts.addSound(part, now()); });
+    forSharedParts(attempt.prompt, [&](suspect_id part, unsigned /*position*/) { m_parts.addSound(part, now()); });
 }
 
 void crash_suspects::setListed(const backend_list_read &list)
@@ -384,7 +385,7 @@
 
 void crash_suspects::describe(nlohmann::json &status) const
 {
-    for (const part_id part : m_parts.isolated()) {
+    for (const suspect_id part : m_parts.isolated()) {
         status["isolated_parts"].push_back(fmt::format("{:x}", part));
     }
     status["isolated_requests"] = m_requests.isolated().size();
--- a/src/plugins/forwarding/crash_suspects.h
+++ b/src/plugins/forwarding/crash_suspects.h
@@ -66,7 +66,7 @@
     void describe(nlohmann::json &status) const;
 
 private:
-    using part_id = suspect_group::suspect_id;
+    using suspect_id = suspect_group::suspect_id;
 
     struct attempt {
         std::vector<prompt_part> prompt;
--- a/src/plugins/forwarding/suspect_group.h
+++ b/src/plugins/forwarding/suspect_group.h
@@ -28,7 +28,7 @@
 class suspect_group
 {
 public:
-    using suspect_id = suspect_table::part_id;
+    using suspect_id = suspect_table::suspect_id;
 
     struct environment {
         const clock *time = nullptr;
--- a/src/plugins/forwarding/suspect_table.cpp
+++ b/src/plugins/forwarding/suspect_table.cpp
@@ -33,16 +33,16 @@
 {
 }
 
-bool suspect_table::addLoss(part_id part, unsigned position, const loss &loss, steady_time now)
+bool suspect_table::addLoss(suspect_id id, unsigned position, const loss &loss, steady_time now)
 {
-    const std::optional<steady_time> sound = lastSound(part);
-    if ((sound && *sound >= loss.at) || now - loss.at > lossLifetime || isExplained(loss.runner, part)) {
+    const std::optional<steady_time> sound = lastSound(id);
+    if ((sound && *sound >= loss.at) || now - loss.at > lossLifetime || isExplained(loss.runner, id)) {
         return false;
     }
-    if (m_suspects.size() >= maximumSuspects && !m_suspects.contains(part)) {
+    if (m_suspects.size() >= maximumSuspects && !m_suspects.contains(id)) {
         return false;
     }
-    suspect &found = m_suspects[part];
+    suspect &found = m_suspects[id];
     found.position = std::max(found.position, position);
     const bool isKnown = std::any_of(found.losses.begin(),
                                      found.losses.end(),
@@ -55,24 +55,24 @@
     }
     found.losses.push_back(loss);
     if (found.isolated) {
-        explainLosses(part);
+        explainLosses(id);
     }
     return true;
 }
 
-suspect_table::sound_effect suspect_table::addSound(part_id part, steady_time at, steady_time now)
+suspect_table::sound_effect suspect_table::addSound(suspect_id id, steady_time at, steady_time now)
 {
     if (now >= m_nextSoundSweep) {
         m_nextSoundSweep = now + soundSweepInterval;
         std::erase_if(m_lastSound, [now](const auto &each) { return now - each.second > soundMemory; });
     }
-    const auto known = m_lastSound.find(part);
+    const auto known = m_lastSound.find(id);
     if (known != m_lastSound.end()) {
         known->second = std::max(known->second, at);
     } else if (m_lastSound.size() < maximumSoundParts && now - at <= soundMemory) {
-        m_lastSound.emplace(part, at);
+        m_lastSound.emplace(id, at);
     }
-    const auto found = m_suspects.find(part);
+    const auto found = m_suspects.find(id);
     if (found == m_suspects.end()) {
         return sound_effect::none;
     }
@@ -94,31 +94,31 @@
     return hasCleared ? sound_effect::losses_cleared : sound_effect::none;
 }
 
-std::optional<steady_time> suspect_table::lastSound(part_id part) const
+std::optional<steady_time> suspect_table::lastSound(suspect_id id) const
 {
-    const auto found = m_lastSound.find(part);
+    const auto found = m_lastSound.find(id);
     return found == m_lastSound.end() ? std::nullopt : std::optional(found->second);
 }
 
-bool suspect_table::wasRecentlySound(part_id part, steady_time now) const
+bool suspect_table::wasRecentlySound(suspect_id id, steady_time now) const
 {
-    const std::optional<steady_time> sound = lastSound(part);
+    const std::optional<steady_time> sound = lastSound(id);
     return sound && now - *sound <= soundMemory;
 }
 
-bool suspect_table::isExplained(std::uint64_t runner, part_id part) const
+bool suspect_table::isExplained(std::uint64_t runner, suspect_id candidate) const
 {
     return !m_thresholds.needsLead
-        && std::any_of(m_suspects.begin(), m_suspects.end(), [runner, part](const auto &each) {
+        && std::any_of(m_suspects.begin(), m_suspects.end(), [runner, candidate](const auto &each) {
                const auto &[id, suspect] = each;
-               return suspect.isolated && id != part
+               return suspect.isolated && id != candidate
                    && std::any_of(suspect.losses.begin(), suspect.losses.end(), [runner](const loss &loss) {
                           return loss.runner == runner;
                       });
            });
 }
 
-void suspect_table::explainLosses(part_id isolated)
+void suspect_table::explainLosses(suspect_id isolated)
 {
     if (m_thresholds.needsLead) {
         return;
@@ -141,18 +141,18 @@
     std::erase_if(m_suspects, [](const auto &each) { return each.second.losses.empty() && !each.second.isolated; });
 }
 
-bool suspect_table::isolate(part_id part, unsigned position, const isolation &isolation)
+bool suspect_table::isolate(suspect_id id, unsigned position, const isolation &isolation)
 {
-    const std::optional<steady_time> sound = lastSound(part);
+    const std::optional<steady_time> sound = lastSound(id);
     // Both times may come from other VMs, late by the time in transit.
     const bool wasAnswered = sound && *sound + reportInaccuracy >= isolation.since;
-    if (findIsolation(part) != nullptr || wasAnswered || isolatedCount() >= m_thresholds.isolated) {
+    if (findIsolation(id) != nullptr || wasAnswered || isolatedCount() >= m_thresholds.isolated) {
         return false;
     }
-    suspect &added = m_suspects[part];
+    suspect &added = m_suspects[id];
     added.position = std::max(added.position, position);
     added.isolated = isolation;
-    explainLosses(part);
+    explainLosses(id);
     return true;
 }
 
@@ -168,9 +168,9 @@
     return result;
 }
 
-bool suspect_table::isEnough(part_id part, const counts &counts, steady_time now) const
+bool suspect_table::isEnough(suspect_id id, const counts &counts, steady_time now) const
 {
-    if (wasRecentlySound(part, now)) {
+    if (wasRecentlySound(id, now)) {
         return counts.runners >= m_thresholds.runnersOfSound && counts.requests >= m_thresholds.requestsOfSound;
     }
     // Each runner counts with its share of the number that is enough.
@@ -181,23 +181,23 @@
 
 // Until then, requests that were beside the one that crashed their runners can't be told from it. They are answered
 // when they come again, and it loses one more runner.
-bool suspect_table::hasLead(part_id part, const counts &counts, const crash_check &isCrash) const
+bool suspect_table::hasLead(suspect_id candidate, const counts &counts, const crash_check &isCrash) const
 {
-    const std::vector<loss> &losses = m_suspects.at(part).losses;
+    const std::vector<loss> &losses = m_suspects.at(candidate).losses;
     const auto isAhead = [&](const suspect &other) {
         const suspect_table::counts otherCounts = count(other, isCrash);
         return std::pair(otherCounts.runners, otherCounts.requests) >= std::pair(counts.runners, counts.requests);
     };
     return std::none_of(m_suspects.begin(), m_suspects.end(), [&](const auto &each) {
         const suspect &other = each.second;
-        return each.first != part && other.losses.size() >= losses.size() && sharesRunner(losses, other.losses)
+        return each.first != candidate && other.losses.size() >= losses.size() && sharesRunner(losses, other.losses)
             && isAhead(other);
     });
 }
 
-std::optional<suspect_table::part_id> suspect_table::isolateMostSuspect(const crash_check &isCrash, steady_time now)
+std::optional<suspect_table::suspect_id> suspect_table::isolateMostSuspect(const crash_check &isCrash, steady_time now)
 {
-    std::optional<part_id> best;
+    std::optional<suspect_id> best;
     counts bestCounts;
     bool isDue = false;
     for (auto &[id, suspect] : m_suspects) {
@@ -229,10 +229,10 @@
     return best;
 }
 
-bool suspect_table::isSuspect(part_id part, const crash_check &isCrash, steady_time now) const
+bool suspect_table::isSuspect(suspect_id id, const crash_check &isCrash, steady_time now) const
 {
-    const auto found = m_suspects.find(part);
-    if (found == m_suspects.end() || wasRecentlySound(part, now)) {
+    const auto found = m_suspects.find(id);
+    if (found == m_suspects.end() || wasRecentlySound(id, now)) {
         return false;
     }
     const counts counted = count(found->second, isCrash);
@@ -244,9 +244,9 @@
     eraseLossesIf([runner](const loss &loss) { return loss.runner == runner; });
 }
 
-std::vector<suspect_table::part_id> suspect_table::expire(steady_time now)
+std::vector<suspect_table::suspect_id> suspect_table::expire(steady_time now)
 {
-    std::vector<part_id> ended;
+    std::vector<suspect_id> ended;
     for (auto &[id, suspect] : m_suspects) {
         if (suspect.isolated && now - suspect.isolated->lastRefusal > m_thresholds.isolationLifetime) {
             suspect.isolated.reset();
@@ -257,25 +257,25 @@
     return ended;
 }
 
-suspect_table::isolation *suspect_table::findIsolation(part_id part)
+suspect_table::isolation *suspect_table::findIsolation(suspect_id id)
 {
-    const auto found = m_suspects.find(part);
+    const auto found = m_suspects.find(id);
     return found == m_suspects.end() || !found->second.isolated ? nullptr : &*found->second.isolated;
 }
 
-const suspect_table::isolation *suspect_table::findIsolation(part_id part) const
+const suspect_table::isolation *suspect_table::findIsolation(suspect_id id) const
 {
-    const suspect *found = find(part);
+    const suspect *found = find(id);
     return found == nullptr || !found->isolated ? nullptr : &*found->isolated;
 }
 
-const suspect_table::suspect *suspect_table::find(part_id part) const
+const suspect_table::suspect *suspect_table::find(suspect_id id) const
 {
-    const auto found = m_suspects.find(part);
+    const auto found = m_suspects.find(id);
     return found == m_suspects.end() ? nullptr : &found->second;
 }
 
-const std::unordered_map<suspect_table::part_id, suspect_table::suspect> &suspect_table::suspects() const
+const std::unordered_map<suspect_table::suspect_id, suspect_table::suspect> &suspect_table::suspects() const
 {
     return m_suspects;
 }
--- a/src/plugins/forwarding/suspect_table.h
+++ b/src/plugins/forwarding/suspect_table.h
@@ -15,7 +15,7 @@
 class suspect_table
 {
 public:
-    using part_id = std::uint64_t;
+    using suspect_id = std::uint64_t;
 
     /// Numbers of lost runners and of requests that lost them.
     struct thresholds {
@@ -76,40 +76,40 @@
     explicit suspect_table(const thresholds &thresholds);
 
     /// False when the loss is known, is older than a sound answer, or is explained by an isolated part.
-    bool addLoss(part_id part, unsigned position, const loss &loss, steady_time now);
-    sound_effect addSound(part_id part, steady_time at, steady_time now);
-    std::optional<steady_time> lastSound(part_id part) const;
-    /// Isolates a part on the evidence of another VM. False when it is isolated already, was answered since, or the
+    bool addLoss(suspect_id id, unsigned position, const loss &loss, steady_time now);
+    sound_effect addSound(suspect_id id, steady_time at, steady_time now);
+    std::optional<steady_time> lastSound(suspect_id id) const;
+    /// Isolates a suspect on the evidence of another VM. False when it is isolated already, was answered since, or the
     /// table of isolated parts is full.
-    bool isolate(part_id part, unsigned position, const isolation &isolation);
-    /// Isolates the part under which most runners ended, if there are enough. Returns its id.
-    std::optional<part_id> isolateMostSuspect(const crash_check &isCrash, steady_time now);
+    bool isolate(suspect_id id, unsigned position, const isolation &isolation);
+    /// Isolates the suspect under which most runners ended, if there are enough. Returns its id.
+    std::optional<suspect_id> isolateMostSuspect(const crash_check &isCrash, steady_time now);
     counts count(const suspect &suspect, const crash_check &isCrash) const;
-    /// Whether several requests with the part lost runners and none was answered.
-    bool isSuspect(part_id part, const crash_check &isCrash, steady_time now) const;
+    /// Whether enough runners were lost under it to suspect it, and none answered lately.
+    bool isSuspect(suspect_id id, const crash_check &isCrash, steady_time now) const;
     void eraseLosses(std::uint64_t runner);
     /// Removes old entries; returns the parts whose isolation ended because no more requests with them came.
-    std::vector<part_id> expire(steady_time now);
+    std::vector<suspect_id> expire(steady_time now);
 
-    isolation *findIsolation(part_id part);
-    const isolation *findIsolation(part_id part) const;
-    const suspect *find(part_id part) const;
-    const std::unordered_map<part_id, suspect> &suspects() const;
+    isolation *findIsolation(suspect_id id);
+    const isolation *findIsolation(suspect_id id) const;
+    const suspect *find(suspect_id id) const;
+    const std::unordered_map<suspect_id, suspect> &suspects() const;
     std::size_t isolatedCount() const;
 
 private:
-    bool isExplained(std::uint64_t runner, part_id part) const;
+    bool isExplained(std::uint64_t runner, suspect_id part) const;
     /// Runner losses that an isolated part explains don't count against other parts.
-    void explainLosses(part_id isolated);
+    void explainLosses(suspect_id isolated);
     /// Of parts that are not isolated.
     void eraseLossesIf(const std::function<bool(const loss &)> &condition);
-    bool wasRecentlySound(part_id part, steady_time now) const;
-    bool isEnough(part_id part, const counts &counts, steady_time now) const;
-    bool hasLead(part_id part, const counts &counts, const crash_check &isCrash) const;
+    bool wasRecentlySound(suspect_id id, steady_time now) const;
+    bool isEnough(suspect_id id, const counts &counts, steady_time now) const;
+    bool hasLead(suspect_id candidate, const counts &counts, const crash_check &isCrash) const;
 
     thresholds m_thresholds;
-    std::unordered_map<part_id, suspect> m_suspects;
-    std::unordered_map<part_id, steady_time> m_lastSound;
+    std::unordered_map<suspect_id, suspect> m_suspects;
+    std::unordered_map<suspect_id, steady_time> m_lastSound;
     steady_time m_nextSoundSweep;
 };
 
--- a/src/plugins/forwarding/tests/suspect_table_test.cpp
+++ b/src/plugins/forwarding/tests/suspect_table_test.cpp
@@ -7,23 +7,23 @@
 
 namespace {
 
-constexpr suspect_table::part_id part = 7;
+constexpr suspect_table::suspect_id part = 7;
 
 class suspect_table_fixture
 {
 protected:
-    void lose(std::uint64_t runner, std::uint32_t request, suspect_table::part_id id = part, unsigned position = 1)
+    void lose(std::uint64_t runner, std::uint32_t request, suspect_table::suspect_id id = part, unsigned position = 1)
     {
         m_table.addLoss(id, position, {runner, request, m_clock.steadyNow()}, m_clock.steadyNow());
     }
 
-    void answer(suspect_table::part_id id = part)
+    void answer(suspect_table::suspect_id id = part)
     {
         m_table.addSound(id, m_clock.steadyNow(), m_clock.steadyNow());
     }
 
     /// Isolates what is due; runners below 100 have ended.
-    std::optional<suspect_table::part_id> isolate()
+    std::optional<suspect_table::suspect_id> isolate()
     {
         const auto isCrash = [](const suspect_table::loss &loss) { return loss.runner < 100; };
         m_table.isolateMostSuspect(isCrash, m_clock.steadyNow());
@@ -107,7 +107,7 @@
 // Guards against the isolation of a part that other parts' crashes explain.
 TEST_CASE_METHOD(suspect_table_fixture, "two parts, same runners, the more specific one is isolated", "[forwarding]")
 {
-    constexpr suspect_table::part_id caller = 99;
+    constexpr suspect_table::suspect_id caller = 99;
     for (std::uint32_t runner = 1; runner <= 4; ++runner) {
         lose(runner, runner, part, 1);
         lose(runner, runner, caller, 0);
@@ -179,8 +179,8 @@
         m_table = suspect_table(requestThresholds);
     }
 
-    static constexpr suspect_table::part_id crashing = 8;
-    static constexpr suspect_table::part_id sound = 9;
+    static constexpr suspect_table::suspect_id crashing = 8;
+    static constexpr suspect_table::suspect_id sound = 9;
 };
 
 } // namespace
