placement_filter: evacuated zones and home regions on each path that selects a runner

Cause: nothing kept requests from the runners of an availability zone that an operator has evacuated, or from runners outside the home regions of a route or an organisation.

Change: backend_selector::isEligible asks placement_filter, which names the obstacle of an excluded runner. The orders are kept by zone_evacuations (event zone_evacuations_read), the home regions by the routes, organisations and route_match, whose regions follow a new configuration also for requests in progress. Without a permitted runner, new and waiting requests are refused at once with runners_evacuated or no_runner_at_home.

Unmeasured so far: the platform's ports.

--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -183,6 +183,10 @@
     request_isolated,
     /// The limits of all runners leave the request no time to start.
     runners_at_limit,
+    /// All runners that could serve the request are in evacuated availability zones.
+    runners_evacuated,
+    /// No runner is in a home region of the request's route and organisation.
+    no_runner_at_home,
 };
 
 struct refuse_forward {
--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -5,6 +5,8 @@
 #include "kernel/types.h"
 
 #include <memory>
+#include <set>
+#include <string>
 #include <variant>
 
 /// Input of the decision code of an entry VM. The events up to "Posted by plug-ins" come from the edge; the others are
@@ -183,6 +185,13 @@
     log_epoch epoch = 0;
 };
 
+/// The complete set of availability zones to whose runners operators have ordered that no request be sent.
+struct zone_evacuations_read {
+    std::set<std::string> zones;
+    /// Epoch of the platform's log that the orders were read in.
+    log_epoch epoch = 0;
+};
+
 struct rollout_ordered {
     rollout_order order;
 };
@@ -242,6 +251,10 @@
 struct capacity_changed {
 };
 
+/// Runners were listed or removed, or a zone was evacuated or has returned; waiting requests may have no runner left.
+struct placement_changed {
+};
+
 /// This VM acquired or lost the lease of a duty.
 struct duty_changed {
     std::string duty;
@@ -279,6 +292,7 @@
                            forward_failed,
                            forward_configuration_read,
                            backend_list_read,
+                           zone_evacuations_read,
                            rollout_ordered,
                            rollout_records_read,
                            rollout_record_refused,
@@ -287,6 +301,7 @@
                            claim_decided,
                            bill_durable,
                            capacity_changed,
+                           placement_changed,
                            duty_changed>;
 
 } // namespace crocuslane
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -41,6 +41,8 @@
     {refusal_reason::prompt_part_isolated, "prompt_part_isolated"},
     {refusal_reason::request_isolated, "request_isolated"},
     {refusal_reason::runners_at_limit, "runners_at_limit"},
+    {refusal_reason::runners_evacuated, "runners_evacuated"},
+    {refusal_reason::no_runner_at_home, "no_runner_at_home"},
 });
 
 } // namespace
--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,8 @@
     /// Number of runners that one request may be sent to, one after the other.
     unsigned maximumAttempts = 1;
     bool isAnonymous = false;
+    /// Regions whose runners may serve the requests; empty for all.
+    std::set<std::string> homeRegions;
 };
 
 /// Capacity of each runner of a service that runs a model engine.
@@ -81,6 +84,8 @@
     std::vector<std::string> keys;
     /// Takes precedence over the priority of the route.
     std::optional<unsigned> priority;
+    /// Regions whose runners may serve the requests; empty for all. Those of the route hold too.
+    std::set<std::string> homeRegions;
 };
 
 /// One version of the operators' configuration for forwarded requests.
@@ -92,6 +97,8 @@
     /// False when no organisation is configured; requests need no key then.
     bool needsKeys = false;
     std::uint64_t maximumBodyBytes = 0;
+    /// Fields that are ignored because they have an invalid value, for the log.
+    std::vector<std::string> invalidFields;
 };
 
 /// Part of a prompt. Parts with equal ids have equal text, so that a runner's cache can reuse them.
--- a/src/libs/services/backend_picker.h
+++ b/src/libs/services/backend_picker.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "kernel/action.h"
 #include "kernel/forward_types.h"
 #include "kernel/types.h"
 
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace crocuslane {
@@ -41,6 +43,8 @@
     std::uint32_t outputTokens = 0;
     /// Runners that must not be tried again; null for none.
     const std::set<runner_id> *excluded = nullptr;
+    /// Regions whose runners may serve the request; null for all.
+    const std::set<std::string> *homeRegions = nullptr;
 };
 
 /// Limit of a runner's requests from all entry VMs together.
@@ -95,6 +99,13 @@
     virtual std::optional<backend_choice> pick(const backend_requirements &requirements) = 0;
     /// True when a runner could serve the request, whether or not it has capacity now.
     virtual bool hasRunner(const backend_requirements &requirements) const = 0;
+    /// Why a request without a runner is refused at once; empty when it may wait for a runner's capacity.
+    virtual std::optional<refusal_reason> refusal(const backend_requirements &requirements) const
+    {
+        backend_requirements anyVersion = requirements;
+        anyVersion.versions = {};
+        return hasRunner(anyVersion) ? std::nullopt : std::optional(refusal_reason::no_runner);
+    }
     /// Time until the limits that runners state let the request start, when @p before others start first: zero if a
     /// runner without a limit could serve it, empty if this VM may not send it in the foreseeable future.
     virtual std::optional<duration> limitDelay(const backend_requirements &requirements, std::size_t before) = 0;
@@ -104,6 +115,11 @@
     virtual void answerBegan(attempt_number attempt) = 0;
     virtual prefill_estimate estimatePrefill(const std::string &model, std::uint32_t promptTokens) const = 0;
     virtual void attemptEnded(attempt_number attempt, attempt_end end) = 0;
+    /// Number of availability zones that are evacuated.
+    virtual std::size_t evacuatedZoneCount() const
+    {
+        return 0;
+    }
     virtual void noteLoad(const runner_id &runner, const reported_load &load) = 0;
 };
 
--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -49,17 +49,20 @@
 
 } // namespace
 
-backend_selector::backend_selector(vm_location location, random_source &random, const prefill_speed &prefillSpeed)
+backend_selector::backend_selector(vm_location location,
+                                   random_source &random,
+                                   const prefill_speed &prefillSpeed,
+                                   const placement_filter &filter)
     : m_location(std::move(location))
     , m_random(random)
     , m_prefillSpeed(prefillSpeed)
+    , m_filter(filter)
 {
 }
 
-bool backend_selector::isEligible(const backend_record &record, const backend_requirements &requirements)
+bool backend_selector::isEligible(const backend_record &record, const backend_requirements &requirements) const
 {
-    return requirements.versions.allows(record.entry.version)
-        && (requirements.excluded == nullptr || !requirements.excluded->contains(record.entry.id));
+    return !m_filter.obstacle(record, requirements);
 }
 
 bool backend_selector::hasCapacity(const backend_record &record,
--- a/src/plugins/backends/backend_selector.h
+++ b/src/plugins/backends/backend_selector.h
@@ -2,6 +2,7 @@
 
 #include "base/random_source.h"
 #include "plugins/backends/backend_table.h"
+#include "plugins/backends/placement_filter.h"
 #include "plugins/backends/prefill_speed.h"
 
 #include <string>
@@ -21,7 +22,10 @@
 class backend_selector
 {
 public:
-    backend_selector(vm_location location, random_source &random, const prefill_speed &prefillSpeed);
+    backend_selector(vm_location location,
+                     random_source &random,
+                     const prefill_speed &prefillSpeed,
+                     const placement_filter &filter);
 
     struct scored_backend {
         backend_record *record = nullptr;
@@ -32,9 +36,8 @@
     std::optional<scored_backend> select(const std::vector<backend_record *> &candidates,
                                          const backend_requirements &requirements,
                                          steady_time now) const;
-    /// True when the version rule allows the runner's version and the runner is not excluded, whether it has capacity
-    /// or not.
-    static bool isEligible(const backend_record &record, const backend_requirements &requirements);
+    /// True when placement_filter finds no obstacle, whether the runner has capacity or not.
+    bool isEligible(const backend_record &record, const backend_requirements &requirements) const;
     static bool hasCapacity(const backend_record &record, const backend_requirements &requirements, steady_time now);
 
 private:
@@ -44,6 +47,7 @@
     vm_location m_location;
     random_source &m_random;
     const prefill_speed &m_prefillSpeed;
+    const placement_filter &m_filter;
 };
 
 } // namespace crocuslane
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -28,7 +28,8 @@
         if (const auto *settings = context.services.tryFind<backend_settings>()) {
             location.regions = settings->regions;
         }
-        m_selector.emplace(std::move(location), context.random, m_prefillSpeed);
+        m_filter.emplace(m_evacuations, location.regions);
+        m_selector.emplace(std::move(location), context.random, m_prefillSpeed, *m_filter);
         m_limiter.emplace(context.node.id, m_limits);
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
@@ -46,7 +47,10 @@
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_table.applyList(*list, now(), actions);
             m_isListRead = true;
-            m_context->post(capacity_changed{});
+            announcePlacement();
+        } else if (const auto *evacuations = std::get_if<zone_evacuations_read>(&event)) {
+            m_evacuations.apply(*evacuations, now(), actions);
+            announcePlacement();
         } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
             announceIf(m_limitExchange.headReceived(*received, now(), actions));
         } else if (const auto *connected = std::get_if<peer_connected>(&event)) {
@@ -56,7 +60,7 @@
                 announceIf(m_limitExchange.receive(*limits, now(), actions));
             }
         } else if (std::holds_alternative<timer_expired>(event)) {
-            m_table.expire(now(), actions);
+            expirePlacement(actions);
             m_limitExchange.expire(now(), actions);
             announcePermits();
         }
@@ -64,7 +68,8 @@
 
     steady_time nextDeadline() const override
     {
-        return std::min({m_table.nextExpiry(), m_nextPermit, m_limitExchange.nextDeadline()});
+        return std::min(
+            {m_table.nextExpiry(), m_nextPermit, m_limitExchange.nextDeadline(), m_evacuations.nextExpiry()});
     }
 
     bool isListRead() const override
@@ -92,20 +97,30 @@
     bool hasRunner(const backend_requirements &requirements) const override
     {
         for (const auto &[id, record] : m_table.backends()) {
-            if (record.entry.service == requirements.service && record.entry.condition == backend_condition::ready
-                && backend_selector::isEligible(record, requirements)) {
+            if (record.entry.service == requirements.service && m_selector->isEligible(record, requirements)) {
                 return true;
             }
         }
         return false;
     }
 
+    std::optional<refusal_reason> refusal(const backend_requirements &requirements) const override
+    {
+        std::vector<const backend_record *> runners;
+        for (const auto &[id, record] : m_table.backends()) {
+            if (record.entry.service == requirements.service) {
+                runners.push_back(&record);
+            }
+        }
+        return m_filter->refusal(runners, requirements);
+    }
+
     std::optional<duration> limitDelay(const backend_requirements &requirements, std::size_t before) override
     {
         std::optional<duration> shortest;
         double rate = 0.0;
         for (const backend_record *record : m_table.findReady(requirements.service)) {
-            if (!backend_selector::isEligible(*record, requirements)) {
+            if (!m_selector->isEligible(*record, requirements)) {
                 continue;
             }
             const runner_key process = record->process();
@@ -172,6 +187,11 @@
         }
     }
 
+    std::size_t evacuatedZoneCount() const override
+    {
+        return m_evacuations.size();
+    }
+
     std::vector<runner_use> localUse() const override
     {
         std::vector<runner_use> use;
@@ -203,6 +223,7 @@
     {
         status["runners"] = m_table.size();
         status["limited_runners"] = m_limits.size();
+        status["evacuated_zones"] = m_evacuations.names();
     }
 
 private:
@@ -224,7 +245,7 @@
             if (delay == duration::zero()) {
                 return false;
             }
-            if (delay && backend_selector::isEligible(*record, requirements)) {
+            if (delay && m_selector->isEligible(*record, requirements)) {
                 next = std::min(next, now() + *delay);
             }
             return true;
@@ -232,6 +253,22 @@
         return next;
     }
 
+    void expirePlacement(action_list &actions)
+    {
+        const std::size_t before = m_table.size() + m_evacuations.size();
+        m_table.expire(now(), actions);
+        m_evacuations.expire(now(), actions);
+        if (m_table.size() + m_evacuations.size() < before) {
+            announcePlacement();
+        }
+    }
+
+    void announcePlacement()
+    {
+        m_context->post(placement_changed{});
+        m_context->post(capacity_changed{});
+    }
+
     void announcePermits()
     {
         if (now() >= m_nextPermit) {
@@ -256,6 +293,8 @@
     steady_time m_nextPermit = steady_time::max();
     bool m_isListRead = false;
     prefill_speed m_prefillSpeed;
+    zone_evacuations m_evacuations;
+    std::optional<placement_filter> m_filter;
     std::optional<backend_selector> m_selector;
 };
 
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -208,11 +208,6 @@
                                              : m_environment.rollouts->rule(active.service, active.request.session);
 }
 
-std::optional<backend_choice> forward_flow::pickForRetry(const active_request &active) const
-{
-    return m_environment.backends->pick(requirementsOf(active, versionRule(active)));
-}
-
 backend_requirements forward_flow::requirementsOf(const active_request &active, const version_rule &rule) const
 {
     backend_requirements requirements;
@@ -224,6 +219,7 @@
     requirements.promptTokens = active.request.promptTokens;
     requirements.outputTokens = outputTokensOf(active.request);
     requirements.excluded = &active.triedRunners;
+    requirements.homeRegions = active.match.homeRegions ? &*active.match.homeRegions : nullptr;
     return requirements;
 }
 
@@ -239,8 +235,8 @@
     if (!m_activeRequests.contains(active.request.request)) {
         return;
     }
-    if (!m_environment.backends->hasRunner(requirementsOf(active, {}))) {
-        endWithoutAnswer(active, refusal_reason::no_runner, refusal_reason::attempts_exhausted_may_have_run, actions);
+    if (const auto reason = m_environment.backends->refusal(requirementsOf(active, versionRule(active)))) {
+        endWithoutAnswer(active, *reason, refusal_reason::attempts_exhausted_may_have_run, actions);
         return;
     }
     active.queuedAt = now();
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -41,6 +41,10 @@
     void dispatchWaiting(action_list &actions);
     /// Refuses the waiting requests that are isolated, or whose prompt has an isolated part.
     void refuseIsolated(action_list &actions);
+    /// Refuses the waiting requests whose runners are all in evacuated zones or outside their home regions.
+    void refuseUnplaceable(action_list &actions);
+    /// Applies the home regions of a new configuration to the requests in progress, for their further attempts.
+    void applyHomeRegions();
     /// Handles the requests whose deadline, queue timeout or silence timeout has expired.
     void expire(action_list &actions);
     steady_time nextDeadline() const;
@@ -110,6 +114,8 @@
     void scheduleDeadline(const active_request &active);
     /// Why the request is refused for crashes; empty when it isn't.
     std::optional<refusal_reason> isolation(const active_request &active) const;
+    /// Why a waiting request is refused for the locations of its runners; empty when it isn't.
+    std::optional<refusal_reason> placementRefusal(const active_request &active) const;
     duration retryAfter(refusal_reason reason) const;
     std::size_t vmCount() const;
     active_request *findByAttempt(attempt_number attempt);
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -65,7 +65,12 @@
                        [&](const forward_event_received &received) { m_flow->receiveEvent(received, actions); },
                        [&](const forward_completed &completed) { m_flow->complete(completed, actions); },
                        [&](const forward_failed &failed) { m_flow->fail(failed, actions); },
-                       [&](const forward_configuration_read &) { m_flow->startWaitingForConfiguration(actions); },
+                       [&](const forward_configuration_read &) {
+                           m_flow->applyHomeRegions();
+                           m_flow->refuseUnplaceable(actions);
+                           m_flow->startWaitingForConfiguration(actions);
+                       },
+                       [&](const placement_changed &) { m_flow->refuseUnplaceable(actions); },
                        [&](const backend_list_read &list) {
                            m_suspects->setListed(list);
                            m_flow->startWaitingForConfiguration(actions);
--- a/src/plugins/routes/route_table.cpp
+++ b/src/plugins/routes/route_table.cpp
@@ -1,7 +1,36 @@
 #include "plugins/routes/route_table.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace crocuslane {
 
+namespace {
+
+std::set<std::string> shared(const std::set<std::string> &left, const std::set<std::string> &right)
+{
+    std::set<std::string> both;
+    std::set_intersection(left.begin(), left.end(), right.begin(), right.end(), std::inserter(both, both.end()));
+    return both;
+}
+
+std::optional<std::set<std::string>> allowedRegions(const route_match &match)
+{
+    static const std::set<std::string> none;
+    const std::set<std::string> &ofRoute = match.route->homeRegions;
+    const std::set<std::string> &ofOrganisation =
+        match.organisation == nullptr ? none : match.organisation->homeRegions;
+    if (ofRoute.empty() && ofOrganisation.empty()) {
+        return std::nullopt;
+    }
+    if (ofRoute.empty() || ofOrganisation.empty()) {
+        return ofRoute.empty() ? ofOrganisation : ofRoute;
+    }
+    return shared(ofRoute, ofOrganisation);
+}
+
+} // namespace
+
 route_table::route_table(std::shared_ptr<const forward_configuration> configuration)
     : m_configuration(std::move(configuration))
 {
@@ -30,6 +59,7 @@
     } else if (m_configuration->needsKeys && !found.route->isAnonymous) {
         return refusal_reason::unknown_key;
     }
+    found.homeRegions = allowedRegions(found);
     return found;
 }
 
@@ -53,6 +83,23 @@
     return nullptr;
 }
 
+std::set<std::string> route_table::homeRegionsOf(const std::string &host) const
+{
+    const auto routes = m_routesByHost.find(host);
+    std::set<std::string> ofAll;
+    std::set<std::string> ofAny;
+    if (routes == m_routesByHost.end()) {
+        return ofAny;
+    }
+    for (const auto &[prefix, route] : routes->second) {
+        if (!route->homeRegions.empty()) {
+            ofAll = ofAny.empty() ? route->homeRegions : shared(ofAll, route->homeRegions);
+            ofAny.insert(route->homeRegions.begin(), route->homeRegions.end());
+        }
+    }
+    return ofAll.empty() ? ofAny : ofAll;
+}
+
 const std::shared_ptr<const forward_configuration> &route_table::configuration() const
 {
     return m_configuration;
--- a/src/plugins/routes/route_table.h
+++ b/src/plugins/routes/route_table.h
@@ -17,6 +17,8 @@
     /// anonymous or the configuration needs no keys.
     std::variant<route_match, refusal_reason>
     match(const std::string &host, const std::string &path, const std::string &callerKey) const;
+    /// See route_source::homeRegionsOf().
+    std::set<std::string> homeRegionsOf(const std::string &host) const;
     const std::shared_ptr<const forward_configuration> &configuration() const;
 
 private:
--- a/src/plugins/routes/routes_plugin.cpp
+++ b/src/plugins/routes/routes_plugin.cpp
@@ -41,6 +41,11 @@
         return m_table->match(host, path, callerKey);
     }
 
+    std::set<std::string> homeRegionsOf(const std::string &host) const override
+    {
+        return m_table ? m_table->homeRegionsOf(host) : std::set<std::string>();
+    }
+
     std::shared_ptr<const forward_configuration> configuration() const override
     {
         return m_table ? m_table->configuration() : nullptr;
@@ -76,6 +81,9 @@
         const bool isNewer = !m_table || read->version > currentVersion;
         if (isNewer) {
             m_table.emplace(read);
+            for (const std::string &field : read->invalidFields) {
+                actions.push_back(log_decision{"configuration_field_ignored", {}, {{"field", field}}});
+            }
         }
         actions.push_back(log_decision{isNewer ? "configuration_accepted" : "configuration_ignored",
                                        {},
--- a/src/plugins/routes/tests/route_table_test.cpp
+++ b/src/plugins/routes/tests/route_table_test.cpp
@@ -67,3 +67,30 @@
     CHECK(std::get<route_match>(m_table->match("models.example", "/a/x", "key-1")).priority() == 0);
     CHECK(std::get<route_match>(m_table->match("models.example", "/open/x", "")).priority() == 2);
 }
+
+// Guards against a restriction that is lost where the route and the organisation both have one, or only one of them.
+TEST_CASE("home regions, of route and organisation, both hold", "[routes]")
+{
+    auto configuration = std::make_shared<forward_configuration>();
+    for (const auto &[prefix, regions] : std::map<std::string, std::set<std::string>>{
+             {"/free/", {}}, {"/bound/", {"north", "south"}}, {"/west/", {"west", "south"}}}) {
+        forward_route route;
+        route.host = "models.example";
+        route.pathPrefix = prefix;
+        route.homeRegions = regions;
+        configuration->routes.push_back(route);
+    }
+    configuration->organisations.push_back({organisation_id("farm"), {"key"}, {}, {"north"}});
+    const route_table table(configuration);
+    const auto regionsOf = [&table](const std::string &path, const std::string &key) {
+        return std::get<route_match>(table.match("models.example", path, key)).homeRegions;
+    };
+    using regions = std::set<std::string>;
+    CHECK_FALSE(regionsOf("/free/", ""));
+    CHECK(regionsOf("/free/", "key") == regions{"north"});
+    CHECK(regionsOf("/bound/", "") == regions{"north", "south"});
+    CHECK(regionsOf("/bound/", "key") == regions{"north"});
+    CHECK(regionsOf("/west/", "key") == regions{});
+    CHECK(table.homeRegionsOf("models.example") == regions{"south"});
+    CHECK(table.homeRegionsOf("other.example").empty());
+}
