forwarding: Split modules off forward_flow

The choice of a service and a model (request_setup), the requirements on a runner and the action that starts an attempt (attempt_requirements), the rule of retries (retry_rule), the refusals with their Retry-After (refusals), what an attempt says about its version (attempt_observation) and two log lines are modules of their own now.

--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -1,7 +1,11 @@
 #include "plugins/forwarding/forward_flow.h"
 
+#include "plugins/forwarding/attempt_requirements.h"
+#include "plugins/forwarding/refusals.h"
 #include "plugins/forwarding/request_log.h"
+#include "plugins/forwarding/request_setup.h"
 #include "plugins/forwarding/request_timeouts.h"
+#include "plugins/forwarding/retry_rule.h"
 
 #include <algorithm>
 
@@ -11,27 +15,8 @@
 
 constexpr std::uint32_t firstServerError = 500;
 constexpr std::uint32_t firstRedirection = 300;
-// A request with less time before its deadline is not sent again: the answer would come too late.
-constexpr std::chrono::milliseconds minimumTimeLeft{30};
 // A new attempt gets this multiple of its expected delay before the silence timeout begins.
 constexpr int expectedDelaysBeforeSilence = 3;
-constexpr std::chrono::milliseconds minimumRetryAfter{300};
-constexpr std::uint64_t retryAfterJitterMilliseconds = 900;
-// Other entry VMs can take the request at once.
-constexpr std::chrono::milliseconds retryAfterWhenStopping{50};
-// An isolated request, or one with an isolated prompt part, is refused again until the release, which takes half a
-// minute at least.
-constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
-// Assumed length of an answer when the caller states neither an estimate nor a maximum.
-constexpr std::uint32_t defaultOutputTokens = 200;
-
-std::uint32_t outputTokensOf(const forward_request &request)
-{
-    if (request.expectedTokens) {
-        return *request.expectedTokens;
-    }
-    return request.maximumTokens > 0 ? request.maximumTokens : defaultOutputTokens;
-}
 
 bool isSuccess(std::uint32_t status)
 {
@@ -60,13 +45,12 @@
 void forward_flow::receive(const forward_request &request, action_list &actions)
 {
     if (!acceptsRequests()) {
-        actions.push_back(refuse_forward{request.request, refusal_reason::stopping, retryAfterWhenStopping});
+        actions.push_back(refuse_forward{
+            request.request, refusal_reason::stopping, retryAfter(refusal_reason::stopping, *m_environment.random)});
         return;
     }
     if (!isConfigured() && m_startupQueue.push(request, now())) {
-        const bool isRead = m_environment.routes->configuration() != nullptr;
-        actions.push_back(log_decision{
-            "request_held", request.request, {{"waits_for", isRead ? "list_of_runners" : "configuration"}}});
+        actions.push_back(requestHeldLine(request.request, m_environment.routes->configuration() != nullptr));
         return;
     }
     admit(request, now(), actions);
@@ -96,71 +80,28 @@
     const forward_route &route = created.route();
     const duration requestedTimeout = request.callerTimeout > duration::zero() ? request.callerTimeout : route.timeout;
     created.deadline = m_stop.limit(created.arrivedAt + std::min(requestedTimeout, route.timeout));
-    created.service = chooseService(route, request.session);
+    created.service = chooseService(route, request.session, *m_environment.random);
     created.engine = findEngine(*created.match.configuration, created.service);
     const bool isModelChosenHere = request.model.empty() && !route.models.empty();
     setModel(created, isModelChosenHere ? route.models.front().value() : std::string());
     created.lastEvent = request.resumeAfter;
-    if (m_environment.suspects != nullptr) {
-        switch (m_environment.suspects->judge(request)) {
-        case crash_suspects::verdict::part_isolated:
-            refuse(created, refusal_reason::prompt_part_isolated, actions);
-            return;
-        case crash_suspects::verdict::request_isolated:
-            refuse(created, refusal_reason::request_isolated, actions);
-            return;
-        case crash_suspects::verdict::probe:
-            created.isProbe = true;
-            break;
-        case crash_suspects::verdict::allowed:
-            break;
-        }
+    if (const std::optional<refusal_reason> reason = judge(created)) {
+        refuse(created, *reason, actions);
+        return;
     }
     m_retryBudget.recordRequest(created.service, now());
     active_request &added = m_activeRequests.insert_or_assign(request.request, std::move(created)).first->second;
     startOrWait(added, actions);
 }
 
-const engine_description *forward_flow::findEngine(const forward_configuration &configuration,
-                                                   const service_id &service) const
+std::optional<refusal_reason> forward_flow::judge(active_request &active)
 {
-    for (const forward_service &each : configuration.services) {
-        if (each.id == service) {
-            return each.engine ? &*each.engine : nullptr;
-        }
-    }
-    return nullptr;
-}
-
-service_id forward_flow::chooseService(const forward_route &route, const std::string &session) const
-{
-    double total = 0.0;
-    for (const service_share &share : route.services) {
-        total += share.weight;
-    }
-    // All requests of a session go to the same service: its hash takes the place of the random number.
-    constexpr double hashRange = 4294967296.0;
-    const double position = session.empty()
-        ? m_environment.random->unit()
-        : static_cast<double>(std::hash<std::string>{}(session)&0xffffffffU) / hashRange;
-    double remaining = position * total;
-    for (const service_share &share : route.services) {
-        remaining -= share.weight;
-        if (remaining < 0.0) {
-            return share.service;
-        }
-    }
-    return route.services.empty() ? service_id() : route.services.back().service;
-}
-
-void forward_flow::setModel(active_request &active, std::string model) const
-{
-    active.model = std::move(model);
-    active.prompt = active.request.prompt;
-    const std::uint64_t salt = std::hash<std::string>{}(active.model.empty() ? active.request.model : active.model);
-    for (prompt_part &part : active.prompt) {
-        part.id ^= salt;
+    if (m_environment.suspects == nullptr) {
+        return std::nullopt;
     }
+    const crash_suspects::verdict verdict = m_environment.suspects->judge(active.request);
+    active.isProbe = verdict == crash_suspects::verdict::probe;
+    return refusalOf(verdict);
 }
 
 bool forward_flow::escalate(active_request &active, action_list &actions)
@@ -171,12 +112,12 @@
     }
     const std::string previousModel = active.model;
     const std::string &largest = active.route().models.back().value();
-    if (previousModel == largest || !mayRetry(active)) {
+    if (previousModel == largest || !mayRetry(active, m_environment.suspects, now())) {
         return false;
     }
     setModel(active, largest);
     const std::optional<backend_choice> choice = pickForRetry(active);
-    if (!choice || !shouldEscalate(escalationEstimate(active, *choice))
+    if (!choice || !shouldEscalate(estimateOf(active, *choice))
         || !m_retryBudget.tryTake(active.service, vmCount(), now())) {
         setModel(active, previousModel);
         return false;
@@ -187,19 +128,10 @@
     return true;
 }
 
-escalation_estimate forward_flow::escalationEstimate(const active_request &active, const backend_choice &choice) const
+escalation_estimate forward_flow::estimateOf(const active_request &active, const backend_choice &choice) const
 {
     const prefill_estimate prefill = m_environment.backends->estimatePrefill(active.model, active.request.promptTokens);
-    escalation_estimate estimate;
-    estimate.confidence = active.confidence.value_or(0);
-    estimate.promptTokens = active.request.promptTokens;
-    estimate.outputTokens = outputTokensOf(active.request);
-    estimate.elapsed = now() - active.arrivedAt;
-    estimate.objective = active.route().objective;
-    estimate.expectedDelay = choice.expectedDelay;
-    estimate.prefillTime = prefill.prefillTime;
-    estimate.queueingDelay = prefill.queueingDelay;
-    return estimate;
+    return escalationEstimate(active, choice, prefill, now());
 }
 
 version_rule forward_flow::versionRule(const active_request &active) const
@@ -213,20 +145,6 @@
     return m_environment.backends->pick(requirementsOf(active, versionRule(active)));
 }
 
-backend_requirements forward_flow::requirementsOf(const active_request &active, const version_rule &rule) const
-{
-    backend_requirements requirements;
-    requirements.service = active.service;
-    requirements.versions = rule;
-    requirements.engine = active.engine;
-    requirements.prompt = &active.prompt;
-    requirements.model = active.model.empty() ? active.request.model : active.model;
-    requirements.promptTokens = active.request.promptTokens;
-    requirements.outputTokens = outputTokensOf(active.request);
-    requirements.excluded = &active.triedRunners;
-    return requirements;
-}
-
 void forward_flow::startOrWait(active_request &active, action_list &actions)
 {
     if (refuseIfTooLate(active, actions)) {
@@ -311,21 +229,7 @@
     if (m_environment.suspects != nullptr) {
         m_environment.suspects->attemptStarted(started.number, active.request, choice.runner);
     }
-    start_forward action;
-    action.attempt = started.number;
-    action.request = active.request.request;
-    action.runner = choice.runner;
-    action.address = choice.address;
-    if (active.match.organisation != nullptr) {
-        action.organisation = active.match.organisation->id;
-    }
-    action.timeLeft = active.deadline - now();
-    action.model = active.model;
-    if (active.engine != nullptr) {
-        action.priority = active.match.priority();
-    }
-    action.resumeAfter = active.lastEvent;
-    action.isStream = isStream(active.route().kind);
+    start_forward action = startAction(active, choice, now());
     action.usesNewConnection = !active.runnersSentTo.insert(choice.runner).second;
     actions.push_back(attemptStartedLine(active, choice, action.timeLeft));
     actions.push_back(std::move(action));
@@ -513,20 +417,11 @@
     retry(active, actions);
 }
 
-bool forward_flow::mayRetry(const active_request &active) const
-{
-    const bool isAllowed =
-        !active.hasUnnumberedEvent && (isRepeatable(active.route().kind) || active.attemptsThatMayHaveRun == 0);
-    const bool mayRepeat =
-        m_environment.suspects == nullptr || m_environment.suspects->mayRepeat(active.request, active.lostRunners);
-    return isAllowed && mayRepeat && active.attempts < active.route().maximumAttempts
-        && active.deadline - now() > minimumTimeLeft;
-}
-
 void forward_flow::retry(active_request &active, action_list &actions)
 {
     const bool isFirstAttempt = active.attempts == 0;
-    if (!mayRetry(active) || (!isFirstAttempt && !m_retryBudget.tryTake(active.service, vmCount(), now()))) {
+    if (!mayRetry(active, m_environment.suspects, now())
+        || (!isFirstAttempt && !m_retryBudget.tryTake(active.service, vmCount(), now()))) {
         endWithoutAnswer(active,
                          isolation(active).value_or(refusal_reason::attempts_exhausted_not_run),
                          refusal_reason::attempts_exhausted_may_have_run,
@@ -601,16 +496,7 @@
     if (m_environment.rollouts == nullptr) {
         return;
     }
-    version_observation observation;
-    observation.service = active.service;
-    observation.version = attempt.version;
-    observation.route = active.route().name;
-    observation.hasFailed = result == attempt_result::failed;
-    observation.isUnanswered = result == attempt_result::unanswered;
-    observation.wasCounted = attempt.hasEvent;
-    observation.delay = now() - attempt.started;
-    observation.promptTokens = active.request.promptTokens;
-    m_environment.rollouts->observe(observation);
+    m_environment.rollouts->observe(observationOf(active, attempt, result, now()));
 }
 
 void forward_flow::endWithoutAnswer(active_request &active,
@@ -633,22 +519,11 @@
 
 void forward_flow::refuse(active_request &active, refusal_reason reason, action_list &actions)
 {
-    actions.push_back(refuse_forward{active.request.request, reason, active.limitDelay + retryAfter(reason)});
+    actions.push_back(
+        refuse_forward{active.request.request, reason, active.limitDelay + retryAfter(reason, *m_environment.random)});
     finish(active, toName(reason), actions);
 }
 
-duration forward_flow::retryAfter(refusal_reason reason) const
-{
-    if (reason == refusal_reason::stopping) {
-        return retryAfterWhenStopping;
-    }
-    if (reason == refusal_reason::prompt_part_isolated || reason == refusal_reason::request_isolated) {
-        return isolatedRetryAfter + std::chrono::milliseconds(m_environment.random->below(isolatedRetryAfter.count()));
-    }
-    // The jitter keeps callers that were refused together from retrying together.
-    return minimumRetryAfter + std::chrono::milliseconds(m_environment.random->below(retryAfterJitterMilliseconds));
-}
-
 void forward_flow::finish(active_request &active, std::string_view outcome, action_list &actions)
 {
     actions.push_back(requestFinishedLine(active, outcome, now()));
@@ -749,17 +624,14 @@
 void forward_flow::moveFromSilentRunner(active_request &active, action_list &actions)
 {
     // A silent runner may still answer: the attempt is cancelled only when another runner can take the request now.
-    const std::optional<backend_choice> choice = mayRetry(active) ? pickForRetry(active) : std::nullopt;
+    const std::optional<backend_choice> choice =
+        mayRetry(active, m_environment.suspects, now()) ? pickForRetry(active) : std::nullopt;
     if (!choice || !m_retryBudget.tryTake(active.service, vmCount(), now())) {
         active.current->lastActivity = now();
         scheduleDeadline(active);
         return;
     }
-    actions.push_back(log_decision{"silent_runner_left",
-                                   active.request.request,
-                                   {{"runner", active.current->runner.value()},
-                                    {"next", choice->runner.value()},
-                                    {"had_events", active.current->hasEvent ? "true" : "false"}}});
+    actions.push_back(silentRunnerLeftLine(active, *choice));
     cancelAttempt(active, attempt_end::lost, actions);
     startAttempt(active, requirementsOf(active, versionRule(active)), *choice, actions);
 }
@@ -781,10 +653,7 @@
         std::min_element(m_activeRequests.begin(), m_activeRequests.end(), [](const auto &left, const auto &right) {
             return left.second.arrivedAt < right.second.arrivedAt;
         });
-    if (oldest == m_activeRequests.end()) {
-        return {};
-    }
-    return requestDescription(oldest->second, now());
+    return oldest == m_activeRequests.end() ? std::string() : requestDescription(oldest->second, now());
 }
 
 std::size_t forward_flow::waiting() const
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -4,6 +4,7 @@
 #include "base/random_source.h"
 #include "kernel/event.h"
 #include "plugins/forwarding/active_request.h"
+#include "plugins/forwarding/attempt_observation.h"
 #include "plugins/forwarding/escalation_policy.h"
 #include "plugins/forwarding/forward_environment.h"
 #include "plugins/forwarding/forward_queue.h"
@@ -55,30 +56,20 @@
     std::size_t waiting() const;
 
 private:
-    /// What an attempt says about the software version that served it.
-    enum class attempt_result {
-        answered,
-        failed,
-        /// The caller or a deadline ended it before the answer began.
-        unanswered,
-    };
-
     steady_time now() const;
     /// The configuration and the list of runners are read.
     bool isConfigured() const;
     void admit(const forward_request &request, steady_time arrivedAt, action_list &actions);
-    const engine_description *findEngine(const forward_configuration &configuration, const service_id &service) const;
-    service_id chooseService(const forward_route &route, const std::string &session) const;
-    void setModel(active_request &active, std::string model) const;
+    /// Why the request is refused at its arrival for earlier crashes; empty when it isn't.
+    std::optional<refusal_reason> judge(active_request &active);
     /// Replaces an answer of low confidence by an attempt with the largest model, provided that the caller has received
     /// none of the answer. Returns false when the answer is kept.
     bool escalate(active_request &active, action_list &actions);
     /// @p choice is the runner that would run the larger model.
-    escalation_estimate escalationEstimate(const active_request &active, const backend_choice &choice) const;
+    escalation_estimate estimateOf(const active_request &active, const backend_choice &choice) const;
     version_rule versionRule(const active_request &active) const;
     /// A runner that can take another attempt now.
     std::optional<backend_choice> pickForRetry(const active_request &active) const;
-    backend_requirements requirementsOf(const active_request &active, const version_rule &rule) const;
     /// Refuses a request that the limits of all runners don't let start before its queue deadline.
     bool refuseAtLimit(active_request &active, action_list &actions);
     bool tryStart(active_request &active, action_list &actions);
@@ -92,7 +83,6 @@
     /// Cancels the attempt at a silent runner and starts another; keeps the attempt when no other runner can take the
     /// request now.
     void moveFromSilentRunner(active_request &active, action_list &actions);
-    bool mayRetry(const active_request &active) const;
     /// Remembers how long an answered request took, if it may not be repeated.
     void recordDuration(const active_request &active);
     /// Refuses a request that may not be repeated when a planned stop leaves no time for an attempt.
@@ -110,7 +100,6 @@
     void scheduleDeadline(const active_request &active);
     /// Why the request is refused for crashes; empty when it isn't.
     std::optional<refusal_reason> isolation(const active_request &active) const;
-    duration retryAfter(refusal_reason reason) const;
     std::size_t vmCount() const;
     active_request *findByAttempt(attempt_number attempt);
 
--- a/src/plugins/forwarding/request_log.cpp
+++ b/src/plugins/forwarding/request_log.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+log_decision requestHeldLine(const request_id &request, bool isConfigurationRead)
+{
+    return {"request_held", request, {{"waits_for", isConfigurationRead ? "list_of_runners" : "configuration"}}};
+}
+
 log_decision attemptStartedLine(const active_request &active, const backend_choice &choice, duration timeLeft)
 {
     log_decision line{"attempt_started",
@@ -83,6 +88,15 @@
              {"expected_ms", milliseconds(choice.expectedDelay)}}};
 }
 
+log_decision silentRunnerLeftLine(const active_request &active, const backend_choice &next)
+{
+    return {"silent_runner_left",
+            active.request.request,
+            {{"runner", active.current->runner.value()},
+             {"next", next.runner.value()},
+             {"had_events", active.current->hasEvent ? "true" : "false"}}};
+}
+
 log_decision requestFinishedLine(const active_request &active, std::string_view outcome, steady_time now)
 {
     log_decision line{"request_finished",
