--- a/src/plugins/forwarding/forward_placement.cpp
+++ b/src/plugins/forwarding/forward_placement.cpp
@@ -1,3 +1,4 @@
+#include "plugins/forwarding/attempt_requirements.h"
 #include "plugins/forwarding/forward_flow.h"
 
 #include <utility>
