routes_test: name the new member of an organisation

Change: the initializer names the empty list. Measured: routes_test passes, with the test of home regions that both hold.

--- a/src/plugins/routes/tests/route_table_test.cpp
+++ b/src/plugins/routes/tests/route_table_test.cpp
@@ -22,7 +22,7 @@
             route.isAnonymous = std::string(prefix) == "/open/";
             configuration->routes.push_back(route);
         }
-        configuration->organisations.push_back({organisation_id("farm"), {"key-1", "key-2"}, 0});
+        configuration->organisations.push_back({organisation_id("farm"), {"key-1", "key-2"}, 0, {}});
         m_table.emplace(configuration);
     }
 
