--- a/src/libs/edge/traffic_metrics.cpp
+++ b/src/libs/edge/traffic_metrics.cpp
@@ -119,6 +119,9 @@
     std::uint64_t attemptFailures = 0;
     std::uint64_t peerBytesSent = 0;
     std::uint64_t exceptions = 0;
+    std::size_t evacuatedZones = 0;
+    /// Refusals of forwarded requests, by reason.
+    std::map<std::string, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> outcomes;
     duration_histogram firstToken{"crocuslane_first_token_seconds", "Time from a request to its first token"};
     duration_histogram tokenGap{"crocuslane_token_gap_seconds", "Time between two tokens of an answer"};
@@ -157,6 +160,8 @@
         d->end(answered->request, "served");
     } else if (const auto *refused = std::get_if<refuse_request>(&action)) {
         d->end(refused->request, toName(refused->error.code));
+    } else if (const auto *forward = std::get_if<refuse_forward>(&action)) {
+        ++d->refusals[std::string(toName(forward->reason))];
     } else if (std::holds_alternative<start_attempt>(action) || std::holds_alternative<start_call>(action)) {
         ++d->attempts;
     }
@@ -182,6 +187,11 @@
     d->peerBytesSent = bytes;
 }
 
+void traffic_metrics::setEvacuatedZones(std::size_t count)
+{
+    d->evacuatedZones = count;
+}
+
 std::string traffic_metrics::text() const
 {
     std::string text;
@@ -201,6 +211,14 @@
     text += fmt::format("# HELP crocuslane_requests_in_progress Requests in progress\n"
                         "# TYPE crocuslane_requests_in_progress gauge\ncrocuslane_requests_in_progress {}\n",
                         d->requests.size());
+    text += "# HELP crocuslane_refusals_total Refused forwarded requests by reason\n"
+            "# TYPE crocuslane_refusals_total counter\n";
+    for (const auto &[reason, count] : d->refusals) {
+        text += fmt::format("crocuslane_refusals_total{{reason=\"{}\"}} {}\n", reason, count);
+    }
+    text += fmt::format("# HELP crocuslane_evacuated_zones Availability zones whose runners get no requests\n"
+                        "# TYPE crocuslane_evacuated_zones gauge\ncrocuslane_evacuated_zones {}\n",
+                        d->evacuatedZones);
     d->firstToken.write(text);
     d->tokenGap.write(text);
     d->requestDuration.write(text);
--- a/src/libs/edge/traffic_metrics.h
+++ b/src/libs/edge/traffic_metrics.h
@@ -25,6 +25,7 @@
     /// Counts a message from outside whose handling threw an exception.
     void countException();
     void setPeerBytesSent(std::uint64_t bytes);
+    void setEvacuatedZones(std::size_t count);
 
     /// All metrics in the Prometheus text format.
     std::string text() const;
