Limit the requests to cold runners through the rate limiter

Cause: a zone of idle runners that came back cold appeared cheapest to all VMs, and nothing limited the requests that they sent to it together. Change: rate_limiter takes limits from an abstract runner_limit_source; the stated limits and the new cold_runners implement it, and the lower limit applies.

--- a/src/libs/kernel/event.h
+++ b/src/libs/kernel/event.h
@@ -181,6 +181,13 @@
     steady_time removalsIgnoredUntil = {};
     /// Epoch of the platform's log that the list was read in.
     log_epoch epoch = 0;
+    /// When the list was complete; the beginning of the clock when that is not known.
+    steady_time upToDateAt = {};
+};
+
+/// No change of the list of runners until this time is unknown.
+struct backend_list_confirmed {
+    steady_time upToDateAt;
 };
 
 struct rollout_ordered {
@@ -279,6 +286,7 @@
                            forward_failed,
                            forward_configuration_read,
                            backend_list_read,
+                           backend_list_confirmed,
                            rollout_ordered,
                            rollout_records_read,
                            rollout_record_refused,
--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -74,6 +74,10 @@
     /// Number of connections that a runner accepts from all clients together.
     unsigned maximumConnections = 0;
     std::optional<engine_description> engine;
+    /// Requests per second that a cold runner takes from all entry VMs together; 0 for no limit.
+    double coldRequestsPerSecond = 0.0;
+    /// How long a runner is cold after its start.
+    duration coldTime{};
 };
 
 struct forward_organisation {
@@ -170,6 +174,8 @@
     std::optional<unsigned> confidence;
     std::optional<reported_load> load;
     stated_rate_limit rateLimit;
+    /// How long the runner stays cold; empty when the answer doesn't state it.
+    std::optional<duration> coldLeft;
 };
 
 /// A runner's answer with header and body, defined by the edge. The decision code only returns it in actions.
@@ -196,6 +202,8 @@
     std::int64_t startedUnixMilliseconds = 0;
     /// Grows with each report of the process; starts anew with the process. 0 when the platform doesn't state it.
     std::uint64_t sequence = 0;
+    /// The process is cold until then, as far as it states; the beginning of the clock when it doesn't.
+    steady_time coldUntil = {};
 };
 
 enum class rollout_phase {
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -1,6 +1,7 @@
 #include "kernel/plugin.h"
 #include "plugins/backends/backend_selector.h"
 #include "plugins/backends/backend_settings.h"
+#include "plugins/backends/cold_runners.h"
 #include "plugins/backends/rate_limit_exchange.h"
 #include "plugins/backends/rate_limiter.h"
 #include "services/member_view.h"
@@ -29,7 +30,7 @@
             location.regions = settings->regions;
         }
         m_selector.emplace(std::move(location), context.random, m_prefillSpeed);
-        m_limiter.emplace(context.node.id, m_limits);
+        m_limiter.emplace(context.node.id, rate_limiter::source_list{&m_limits, &m_coldRunners});
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
     }
@@ -45,9 +46,15 @@
     {
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_table.applyList(*list, now(), actions);
+            m_coldRunners.applyList(*list, now());
             m_isListRead = true;
             m_context->post(capacity_changed{});
+        } else if (const auto *confirmed = std::get_if<backend_list_confirmed>(&event)) {
+            m_coldRunners.setListTime(confirmed->upToDateAt);
+        } else if (const auto *read = std::get_if<forward_configuration_read>(&event)) {
+            readServices(*read);
         } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
+            noteColdness(*received);
             announceIf(m_limitExchange.headReceived(*received, now(), actions));
         } else if (const auto *connected = std::get_if<peer_connected>(&event)) {
             m_limitExchange.connected(connected->peer, now(), actions);
@@ -60,11 +67,13 @@
             m_limitExchange.expire(now(), actions);
             announcePermits();
         }
+        announceIf(m_coldRunners.report(now(), actions));
     }
 
     steady_time nextDeadline() const override
     {
-        return std::min({m_table.nextExpiry(), m_nextPermit, m_limitExchange.nextDeadline()});
+        return std::min(
+            {m_table.nextExpiry(), m_nextPermit, m_limitExchange.nextDeadline(), m_coldRunners.nextDeadline()});
     }
 
     bool isListRead() const override
@@ -103,21 +112,31 @@
     std::optional<duration> limitDelay(const backend_requirements &requirements, std::size_t before) override
     {
         std::optional<duration> shortest;
+        std::optional<duration> untilUnlimited;
         double rate = 0.0;
         for (const backend_record *record : m_table.findReady(requirements.service)) {
             if (!backend_selector::isEligible(*record, requirements)) {
                 continue;
             }
             const runner_key process = record->process();
-            if (m_limits.find(process) == nullptr) {
+            const std::optional<runner_limit> limit = m_limiter->limitOf(process, now());
+            if (!limit) {
                 return duration::zero();
             }
+            if (limit->until) {
+                const duration left = *limit->until - now();
+                untilUnlimited = std::min(untilUnlimited.value_or(left), left);
+            }
             if (const std::optional<duration> delay = m_limiter->delay(process, now())) {
                 shortest = std::min(shortest.value_or(*delay), *delay);
                 rate += m_limiter->rate(process, now());
             }
         }
-        return shortest ? std::optional(*shortest + fromSeconds(static_cast<double>(before) / rate)) : std::nullopt;
+        if (!shortest) {
+            return std::nullopt;
+        }
+        const duration wait = rate > 0.0 ? fromSeconds(static_cast<double>(before) / rate) : duration::zero();
+        return std::min(*shortest + wait, untilUnlimited.value_or(duration::max()));
     }
 
     void
@@ -157,6 +176,10 @@
 
     void attemptEnded(attempt_number attempt, attempt_end end) override
     {
+        const attempt_load *load = m_table.findAttempt(attempt);
+        if (load != nullptr && end == attempt_end::not_sent) {
+            m_coldRunners.setColdFrom(load->process, now(), duration::zero(), cold_source::connection_refused);
+        }
         if (backend_record *record = m_table.attemptEnded(attempt)) {
             record->failures.addResult(end, now());
         }
@@ -203,6 +226,8 @@
     {
         status["runners"] = m_table.size();
         status["limited_runners"] = m_limits.size();
+        status["cold_runners"] = m_coldRunners.size();
+        status["runner_list_old"] = m_coldRunners.isListOld();
     }
 
 private:
@@ -216,7 +241,7 @@
     steady_time removeLimited(std::vector<backend_record *> &candidates, const backend_requirements &requirements)
     {
         steady_time next = steady_time::max();
-        if (m_limits.size() == 0) {
+        if (!m_limiter->hasLimits(now())) {
             return next;
         }
         std::erase_if(candidates, [&](const backend_record *record) {
@@ -232,6 +257,25 @@
         return next;
     }
 
+    void readServices(const forward_configuration_read &read)
+    {
+        // As the plug-in routes does, ignore a version that is not newer.
+        if (read.configuration && (!m_configurationVersion || read.configuration->version > *m_configurationVersion)) {
+            m_configurationVersion = read.configuration->version;
+            m_coldRunners.setServices(read.configuration->services);
+        }
+    }
+
+    void noteColdness(const forward_head_received &received)
+    {
+        const forward_answer_head &head = received.head;
+        const attempt_load *load = m_table.findAttempt(received.attempt);
+        // Another runner's answer says nothing about this one.
+        if (load != nullptr && head.coldLeft && !head.isMisdirected && head.identity != answer_identity::other) {
+            m_coldRunners.setColdUntil(load->process, now() + *head.coldLeft, cold_source::answer);
+        }
+    }
+
     void announcePermits()
     {
         if (now() >= m_nextPermit) {
@@ -250,6 +294,8 @@
     plugin_context *m_context = nullptr;
     backend_table m_table;
     rate_limit_table m_limits;
+    cold_runners m_coldRunners;
+    std::optional<std::uint64_t> m_configurationVersion;
     rate_limit_exchange m_limitExchange{m_limits, m_table};
     std::optional<rate_limiter> m_limiter;
     /// When the queue is looked at again because a runner with a limit takes another request.
--- a/src/plugins/backends/rate_limit_table.cpp
+++ b/src/plugins/backends/rate_limit_table.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::seconds liftMemory{15};
 // The process of the runner has ended long before.
 constexpr std::chrono::minutes limitLifetime{10};
+// When no VM has heard of a limit for this time, other VMs get their turn to send a request: the VMs that had it may
+// have none for this runner.
+constexpr std::chrono::seconds turnInterval{15};
 
 bool isSmallChange(double before, double after)
 {
@@ -151,6 +154,23 @@
     return m_limits.size();
 }
 
+std::optional<runner_limit> rate_limit_table::limitOf(runner_key runner, steady_time now) const
+{
+    const limit *known = find(runner);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    runner_limit found;
+    found.requestsPerSecond = known->requestsPerSecond;
+    found.turn = now <= known->sharedAt ? 0 : static_cast<std::uint64_t>((now - known->sharedAt) / turnInterval);
+    return found;
+}
+
+bool rate_limit_table::hasLimits(steady_time /*now*/) const
+{
+    return !m_limits.empty();
+}
+
 bool rate_limit_table::hasChanges() const
 {
     return !m_changed.empty();
--- a/src/plugins/backends/rate_limit_table.h
+++ b/src/plugins/backends/rate_limit_table.h
@@ -2,6 +2,7 @@
 
 #include "kernel/forward_types.h"
 #include "kernel/peer_message.h"
+#include "plugins/backends/runner_limit_source.h"
 
 #include <optional>
 #include <set>
@@ -11,7 +12,7 @@
 
 /// The rates of requests that runners take from all entry VMs together, as their answers state them to this VM or to
 /// another one.
-class rate_limit_table
+class rate_limit_table : public runner_limit_source
 {
 public:
     struct limit {
@@ -40,6 +41,8 @@
     /// Null when no limit of the runner is known.
     const limit *find(runner_key runner) const;
     std::size_t size() const;
+    std::optional<runner_limit> limitOf(runner_key runner, steady_time now) const override;
+    bool hasLimits(steady_time now) const override;
 
     bool hasChanges() const;
     /// What the other VMs don't know yet, up to the size of a message.
--- a/src/plugins/backends/rate_limiter.cpp
+++ b/src/plugins/backends/rate_limiter.cpp
@@ -7,22 +7,19 @@
 namespace {
 
 constexpr std::chrono::milliseconds membersUpdateInterval{500};
-// When no VM has heard of a limit for this time, other VMs get their turn to send a request: the VMs that had it may
-// have none for this runner.
-constexpr std::chrono::seconds turnInterval{15};
-
 // A shorter one would be rounded to none.
 constexpr std::chrono::milliseconds shortestDelay{1};
 
-std::uint64_t turnOf(const rate_limit_table::limit &limit, steady_time now)
+bool haveSameShares(const runner_limit &left, const runner_limit &right)
 {
-    return now <= limit.sharedAt ? 0 : static_cast<std::uint64_t>((now - limit.sharedAt) / turnInterval);
+    return left.requestsPerSecond == right.requestsPerSecond && left.sharedBy == right.sharedBy
+        && left.turn == right.turn;
 }
 
 } // namespace
 
-rate_limiter::rate_limiter(const vm_id &self, const rate_limit_table &limits)
-    : m_limits(limits)
+rate_limiter::rate_limiter(const vm_id &self, source_list sources)
+    : m_sources(std::move(sources))
     , m_shares(self)
 {
 }
@@ -32,10 +29,27 @@
     m_members = members;
 }
 
+bool rate_limiter::hasLimits(steady_time now) const
+{
+    return std::any_of(m_sources.begin(), m_sources.end(), [now](const auto *each) { return each->hasLimits(now); });
+}
+
+std::optional<runner_limit> rate_limiter::limitOf(runner_key runner, steady_time now) const
+{
+    std::optional<runner_limit> lowest;
+    for (const runner_limit_source *source : m_sources) {
+        const std::optional<runner_limit> limit = source->limitOf(runner, now);
+        if (limit && (!lowest || limit->requestsPerSecond < lowest->requestsPerSecond)) {
+            lowest = limit;
+        }
+    }
+    return lowest;
+}
+
 rate_limiter::permits *rate_limiter::find(runner_key runner, steady_time now)
 {
-    const rate_limit_table::limit *limit = m_limits.find(runner);
-    if (limit == nullptr) {
+    const std::optional<runner_limit> limit = limitOf(runner, now);
+    if (!limit) {
         m_permits.erase(runner);
         return nullptr;
     }
@@ -43,17 +57,15 @@
         m_nextMembersUpdate = now + membersUpdateInterval;
         m_shares.setMembers(m_members);
         ++m_membersVersion;
-        std::erase_if(m_permits, [this](const auto &each) { return m_limits.find(each.first) == nullptr; });
+        std::erase_if(m_permits, [&](const auto &each) { return !limitOf(each.first, now); });
     }
     permits &found = m_permits[runner];
-    const std::uint64_t turn = turnOf(*limit, now);
-    if (found.limit != limit->requestsPerSecond || found.turn != turn || found.membersVersion != m_membersVersion) {
-        found.limit = limit->requestsPerSecond;
-        found.turn = turn;
+    if (!haveSameShares(found.limit, *limit) || found.membersVersion != m_membersVersion) {
         found.membersVersion = m_membersVersion;
-        found.share = m_shares.shareOf(runner, found.limit, turn);
+        found.share = m_shares.shareOf(runner, *limit);
         found.bucket.setRate(found.share.requestsPerSecond, found.share.burst, now);
     }
+    found.limit = *limit;
     return &found;
 }
 
@@ -70,11 +82,16 @@
     if (found == nullptr) {
         return duration::zero();
     }
-    if (found->share.requestsPerSecond <= 0.0) {
-        return std::nullopt;
+    std::optional<duration> delay;
+    if (found->share.requestsPerSecond > 0.0) {
+        const double seconds = found->bucket.secondsToNext(now);
+        delay = seconds <= 0.0 ? duration::zero() : std::max<duration>(fromSeconds(seconds), shortestDelay);
+    }
+    if (found->limit.until) {
+        const duration left = *found->limit.until - now;
+        delay = std::min(delay.value_or(left), left);
     }
-    const double seconds = found->bucket.secondsToNext(now);
-    return seconds <= 0.0 ? duration::zero() : std::max<duration>(fromSeconds(seconds), shortestDelay);
+    return delay;
 }
 
 double rate_limiter::rate(runner_key runner, steady_time now)
--- a/src/plugins/backends/rate_shares.h
+++ b/src/plugins/backends/rate_shares.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/text_id.h"
-#include "kernel/runner_key.h"
+#include "plugins/backends/runner_limit_source.h"
 #include "services/member_view.h"
 
 #include <vector>
@@ -22,12 +22,14 @@
     explicit rate_shares(const vm_id &self);
     /// @p members is null when this VM runs without other entry VMs.
     void setMembers(const member_view *members);
-    /// Zero when the limit is for other VMs. With another @p turn other VMs share the limit.
-    share shareOf(runner_key runner, double requestsPerSecond, std::uint64_t turn) const;
+    /// Zero when the limit is for other VMs.
+    share shareOf(runner_key runner, const runner_limit &limit) const;
 
 private:
     std::uint64_t m_self;
     std::vector<std::uint64_t> m_others;
+    /// Also those that don't count as alive.
+    std::vector<std::uint64_t> m_allOthers;
     /// The list of VMs is not known yet.
     bool m_isUnknown = false;
 };
--- a/src/plugins/backends/tests/rate_limiter_test.cpp
+++ b/src/plugins/backends/tests/rate_limiter_test.cpp
@@ -1,4 +1,6 @@
+#include "plugins/backends/rate_limit_table.h"
 #include "plugins/backends/rate_limiter.h"
+#include "plugins/backends/tests/listed_members.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,59 +14,6 @@
 
 constexpr std::size_t vmCount = 95;
 
-class listed_members : public member_view
-{
-public:
-    entry_advice advice() const override
-    {
-        return {};
-    }
-
-    std::vector<member_info> members() const override
-    {
-        std::vector<member_info> list;
-        for (std::size_t number = 0; number < vmCount; ++number) {
-            member_info info;
-            info.id = vm_id("vm-" + std::to_string(number));
-            info.isSelf = number == self;
-            if (isInContact || info.isSelf) {
-                info.lastContactAge = duration::zero();
-            }
-            list.push_back(info);
-        }
-        return list;
-    }
-
-    bool hasContactWithMajority(duration /*limit*/) const override
-    {
-        return isInContact;
-    }
-
-    const std::vector<vm_entry> &backendServers() const override
-    {
-        return servers;
-    }
-
-    std::vector<vm_id> connectedPeers() const override
-    {
-        return {};
-    }
-
-    std::optional<steady_time> earliestSendTime(const vm_id & /*peer*/) const override
-    {
-        return std::nullopt;
-    }
-
-    std::optional<std::string> regionOf(const vm_id & /*peer*/) const override
-    {
-        return std::nullopt;
-    }
-
-    std::size_t self = 0;
-    bool isInContact = true;
-    std::vector<vm_entry> servers;
-};
-
 /// The limiters of all VMs of a deployment.
 class rate_limiter_fixture
 {
@@ -72,8 +21,9 @@
     rate_limiter_fixture()
     {
         for (std::size_t number = 0; number < vmCount; ++number) {
+            m_members[number].vmCount = vmCount;
             m_members[number].self = number;
-            m_limiters.emplace_back(vm_id("vm-" + std::to_string(number)), m_limits[number])
+            m_limiters.emplace_back(vm_id("vm-" + std::to_string(number)), rate_limiter::source_list{&m_limits[number]})
                 .setMembers(&m_members[number]);
         }
     }
