Test that the backends plug-in limits new runners

Cause: the tests of cold_runners and of the shares don't cover the selection of a runner and the predicted delay. Change: one test of the plug-in with and without a rate for cold runners.

--- a/src/plugins/backends/tests/backends_plugin_test.cpp
+++ b/src/plugins/backends/tests/backends_plugin_test.cpp
@@ -171,3 +171,30 @@
     m_requirements.versions = {version_rule::mode::only, "v1"};
     CHECK(pick() == "a");
 }
+
+// Guards against a new runner that appears cheapest and gets all requests at once, and against a request that is
+// refused although the runner warms up in time. Without a rate, a new runner is used as before.
+TEST_CASE_METHOD(backends_fixture, "runner, new and cold, gets one request after the other", "[backends]")
+{
+    const double rate = GENERATE(0.0, 2.0);
+    auto configuration = std::make_shared<forward_configuration>();
+    configuration->services.push_back({service_id("model"), 0, m_engine, rate, std::chrono::seconds(3)});
+    m_kernel.handle(forward_configuration_read{configuration});
+    list({});
+    list({{"a", "zone-a"}});
+    if (rate == 0.0) {
+        CHECK(pick() == "a");
+        CHECK(picker().limitDelay(m_requirements, 5) == duration::zero());
+        return;
+    }
+    CHECK(pick() == "none");
+    CHECK(picker().limitDelay(m_requirements, 0) == std::chrono::milliseconds(500));
+    CHECK(picker().limitDelay(m_requirements, 100) == std::chrono::seconds(3));
+    m_clock.advance(std::chrono::milliseconds(500));
+    CHECK(pick() == "a");
+    run("a", 1);
+    CHECK(pick() == "none");
+    m_clock.advance(std::chrono::milliseconds(2500));
+    run("a", 1);
+    CHECK(pick() == "a");
+}
