Learn the speeds of runners from their answers

All runners of a model or plain service counted as equally fast; the ones of a deployment may differ by 0.7 to 1.7 times and slow down at times without a report.

Model services multiply the wait by the factor, plain services send in proportion to the speed. A replaced process is forgotten.

Speeds are not sent to other VMs yet.

--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocuslane {
 
@@ -62,10 +63,12 @@
 backend_selector::backend_selector(vm_location location,
                                    random_source &random,
                                    const prefill_speed &prefillSpeed,
+                                   const runner_speeds &speeds,
                                    selection_rules rules)
     : m_location(std::move(location))
     , m_random(random)
     , m_prefillSpeed(prefillSpeed)
+    , m_speeds(speeds)
     , m_rules(std::move(rules))
 {
 }
@@ -152,6 +155,7 @@
 backend_selector::score(backend_record &record, const backend_requirements &requirements, steady_time now) const
 {
     const double running = m_rules.load->running(record, now);
+    const double timeFactor = m_speeds.timeFactor(record.process(), now);
     double wait = 0.0;
     if (requirements.engine != nullptr) {
         const std::uint32_t cached =
@@ -165,6 +169,13 @@
         wait = plainServiceMilliseconds * (1.0 + running / slots);
     }
     wait *= record.slowdownFactor(now);
+    if (requirements.engine != nullptr) {
+        wait *= timeFactor;
+    } else {
+        // The choice weights runners by the exponential of the cost: of equally busy runners, each gets requests in
+        // proportion to its speed. A factor on the wait would leave the slow ones idle until the others are full.
+        wait += costScaleMilliseconds * std::log(timeFactor);
+    }
     const double networkCost = networkCostMilliseconds(record.entry.availabilityZone);
     scored_backend result;
     result.record = &record;
--- a/src/plugins/backends/backend_selector.h
+++ b/src/plugins/backends/backend_selector.h
@@ -4,6 +4,7 @@
 #include "plugins/backends/load_estimate.h"
 #include "plugins/backends/prefill_speed.h"
 #include "plugins/backends/runner_choice.h"
+#include "plugins/backends/runner_speeds.h"
 
 #include <memory>
 #include <string>
@@ -41,6 +42,7 @@
     backend_selector(vm_location location,
                      random_source &random,
                      const prefill_speed &prefillSpeed,
+                     const runner_speeds &speeds,
                      selection_rules rules = defaultSelectionRules());
 
     /// Returns nothing when no eligible runner of @p candidates has capacity.
@@ -63,6 +65,7 @@
     vm_location m_location;
     random_source &m_random;
     const prefill_speed &m_prefillSpeed;
+    const runner_speeds &m_speeds;
     selection_rules m_rules;
 };
 
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -18,6 +18,7 @@
 /// Work that one attempt causes at a runner, as this VM estimates it.
 struct attempt_load {
     runner_id runner;
+    service_id service = {};
     /// The process of the runner that was listed when the attempt started.
     runner_key process = 0;
     /// Tokens of prompt and answer in the runner's KV cache.
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -29,7 +29,7 @@
         if (const auto *settings = context.services.tryFind<backend_settings>()) {
             location.regions = settings->regions;
         }
-        m_selector.emplace(std::move(location), context.random, m_prefillSpeed);
+        m_selector.emplace(std::move(location), context.random, m_prefillSpeed, m_speeds);
         m_limiter.emplace(context.node.id, m_limits);
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
@@ -46,6 +46,7 @@
     {
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_table.applyList(*list, now(), actions);
+            forgetReplacedProcesses();
             m_isListRead = true;
             m_context->post(capacity_changed{});
         } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
@@ -127,6 +128,7 @@
         attempt_load load;
         load.runner = runner;
         load.startedAt = now();
+        load.service = requirements.service;
         load.memoryTokens = requirements.promptTokens + requirements.outputTokens;
         backend_record *record = m_table.find(runner);
         if (record != nullptr) {
@@ -147,7 +149,9 @@
     {
         const attempt_load *load = m_table.answerBegan(attempt);
         if (load != nullptr && load->prefillTokens > 0) {
+            const duration expected = load->prefillTime + m_prefillSpeed.queueingDelay();
             m_prefillSpeed.addMeasurement(load->model, load->prefillTokens, now() - load->startedAt);
+            addSpeed(*load, load->model, expected);
         }
     }
 
@@ -158,6 +162,10 @@
 
     void attemptEnded(attempt_number attempt, attempt_end end) override
     {
+        const attempt_load *load = m_table.findAttempt(attempt);
+        if (load != nullptr && end == attempt_end::complete && load->model.empty()) {
+            addSpeed(*load, load->service.value(), std::chrono::seconds(1));
+        }
         if (backend_record *record = m_table.attemptEnded(attempt)) {
             record->failures.addResult(end, now());
         }
@@ -196,10 +204,31 @@
     {
         status["runners"] = m_table.size();
         status["limited_runners"] = m_limits.size();
+        status["slow_runners"] = m_speeds.slowProcesses(now());
         status["remote_load_age_ms"] = std::chrono::round<std::chrono::milliseconds>(m_remoteUse.age(now())).count();
     }
 
 private:
+    /// The slowdown that the runner itself reports is in the cost already.
+    void addSpeed(const attempt_load &load, const std::string &group, duration expected)
+    {
+        const backend_record *record = m_table.find(load.runner);
+        if (record != nullptr && record->process() == load.process) {
+            const double reported = record->slowdownFactor(now());
+            const duration measured = fromSeconds(toSeconds(now() - load.startedAt) / reported);
+            m_speeds.add(group, load.process, measured, expected, now());
+        }
+    }
+
+    void forgetReplacedProcesses()
+    {
+        std::set<runner_key> listed;
+        for (const auto &[id, record] : m_table.backends()) {
+            listed.insert(record.process());
+        }
+        m_speeds.keepOnly([&listed](runner_key process) { return listed.contains(process); });
+    }
+
     steady_time now() const
     {
         return m_context->time.steadyNow();
@@ -251,6 +280,7 @@
     steady_time m_nextPermit = steady_time::max();
     bool m_isListRead = false;
     prefill_speed m_prefillSpeed;
+    runner_speeds m_speeds;
     std::optional<backend_selector> m_selector;
 };
 
--- a/src/plugins/backends/tests/backends_plugin_test.cpp
+++ b/src/plugins/backends/tests/backends_plugin_test.cpp
@@ -171,3 +171,24 @@
     m_requirements.versions = {version_rule::mode::only, "v1"};
     CHECK(pick() == "a");
 }
+
+// Guards against a slow runner of a plain service that gets as many requests as a fast one, or none at all.
+TEST_CASE_METHOD(backends_fixture, "plain service, one runner slow, gets requests in proportion to speed", "[backends]")
+{
+    list({{"fast", "zone-a"}, {"slow", "zone-a"}});
+    m_requirements.engine = nullptr;
+    m_requirements.prompt = nullptr;
+    for (int round = 0; round < 200; ++round) {
+        for (const auto &[runner, milliseconds] : {std::pair("fast", 100), std::pair("slow", 300)}) {
+            picker().attemptStarted(++m_attempts, m_requirements, runner_id(runner));
+            m_clock.advance(std::chrono::milliseconds(milliseconds));
+            picker().attemptEnded(m_attempts, attempt_end::complete);
+        }
+    }
+    int slow = 0;
+    for (int request = 0; request < 2000; ++request) {
+        slow += pick() == "slow" ? 1 : 0;
+    }
+    CHECK(slow > 400);
+    CHECK(slow < 600);
+}
--- a/src/plugins/backends/tests/load_simulation.cpp
+++ b/src/plugins/backends/tests/load_simulation.cpp
@@ -135,7 +135,7 @@
         for (unsigned zone = 0; zone < zones; ++zone) {
             location.regions[zoneName(zone)] = regionName(zone);
         }
-        vm.selector = std::make_unique<backend_selector>(location, m_choices, m_prefillSpeed, rules);
+        vm.selector = std::make_unique<backend_selector>(location, m_choices, m_prefillSpeed, m_speeds, rules);
         backend_list_read list;
         for (unsigned runner = 0; runner < m_deployment.runners; ++runner) {
             backend_entry entry;
@@ -363,6 +363,7 @@
     seeded_random m_choices;
     engine_description m_engine;
     prefill_speed m_prefillSpeed;
+    runner_speeds m_speeds;
     std::vector<simulated_runner> m_runners;
     std::vector<unsigned> m_total;
     std::deque<simulated_vm> m_vms;
