--- a/src/plugins/backends/backend_selector.h
+++ b/src/plugins/backends/backend_selector.h
@@ -5,6 +5,7 @@
 #include "plugins/backends/placement_filter.h"
 #include "plugins/backends/prefill_speed.h"
 #include "plugins/backends/runner_choice.h"
+#include "plugins/backends/runner_speeds.h"
 
 #include <memory>
 #include <string>
@@ -43,6 +44,7 @@
                      random_source &random,
                      const prefill_speed &prefillSpeed,
                      const placement_filter &filter,
+                     const runner_speeds &speeds,
                      selection_rules rules = defaultSelectionRules());
 
     /// Returns nothing when no eligible runner of @p candidates has capacity.
@@ -65,6 +67,7 @@
     random_source &m_random;
     const prefill_speed &m_prefillSpeed;
     const placement_filter &m_filter;
+    const runner_speeds &m_speeds;
     selection_rules m_rules;
 };
 
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -38,7 +38,7 @@
             location.regions = settings->regions;
         }
         m_filter.emplace(m_evacuations, location.regions);
-        m_selector.emplace(std::move(location), context.random, m_prefillSpeed, *m_filter);
+        m_selector.emplace(std::move(location), context.random, m_prefillSpeed, *m_filter, m_speeds);
         m_limiter.emplace(context.node.id, rate_limiter::source_list{&m_limits, &m_coldRunners});
         context.services.offer<backend_picker>(*this);
         context.services.offer<runner_use_exchange>(*this);
@@ -56,6 +56,7 @@
         if (const auto *list = std::get_if<backend_list_read>(&event)) {
             m_table.applyList(*list, now(), actions);
             m_coldRunners.applyList(*list, now());
+            forgetReplacedProcesses();
             m_isListRead = true;
             announcePlacement();
         } else if (const auto *evacuations = std::get_if<zone_evacuations_read>(&event)) {
@@ -171,6 +172,7 @@
         attempt_load load;
         load.runner = runner;
         load.startedAt = now();
+        load.service = requirements.service;
         load.memoryTokens = requirements.promptTokens + requirements.outputTokens;
         backend_record *record = m_table.find(runner);
         if (record != nullptr) {
@@ -191,7 +193,9 @@
     {
         const attempt_load *load = m_table.answerBegan(attempt);
         if (load != nullptr && load->prefillTokens > 0) {
+            const duration expected = load->prefillTime + m_prefillSpeed.queueingDelay();
             m_prefillSpeed.addMeasurement(load->model, load->prefillTokens, now() - load->startedAt);
+            addSpeed(*load, load->model, expected);
         }
     }
 
@@ -206,6 +210,9 @@
         if (load != nullptr && end == attempt_end::not_sent) {
             m_coldRunners.setColdFrom(load->process, now(), duration::zero(), cold_source::connection_refused);
         }
+        if (load != nullptr && end == attempt_end::complete && load->model.empty()) {
+            addSpeed(*load, load->service.value(), std::chrono::seconds(1));
+        }
         if (backend_record *record = m_table.attemptEnded(attempt)) {
             record->failures.addResult(end, now());
         }
@@ -250,12 +257,33 @@
         status["runners"] = m_table.size();
         status["limited_runners"] = m_limits.size();
         status["evacuated_zones"] = m_evacuations.names();
+        status["slow_runners"] = m_speeds.slowProcesses(now());
         status["remote_load_age_ms"] = std::chrono::round<std::chrono::milliseconds>(m_remoteUse.age(now())).count();
         status["cold_runners"] = m_coldRunners.size();
         status["runner_list_old"] = m_coldRunners.isListOld();
     }
 
 private:
+    /// The slowdown that the runner itself reports is in the cost already.
+    void addSpeed(const attempt_load &load, const std::string &group, duration expected)
+    {
+        const backend_record *record = m_table.find(load.runner);
+        if (record != nullptr && record->process() == load.process) {
+            const double reported = record->slowdownFactor(now());
+            const duration measured = fromSeconds(toSeconds(now() - load.startedAt) / reported);
+            m_speeds.add(group, load.process, measured, expected, now());
+        }
+    }
+
+    void forgetReplacedProcesses()
+    {
+        std::set<runner_key> listed;
+        for (const auto &[id, record] : m_table.backends()) {
+            listed.insert(record.process());
+        }
+        m_speeds.keepOnly([&listed](runner_key process) { return listed.contains(process); });
+    }
+
     steady_time now() const
     {
         return m_context->time.steadyNow();
@@ -357,6 +385,7 @@
     prefill_speed m_prefillSpeed;
     zone_evacuations m_evacuations;
     std::optional<placement_filter> m_filter;
+    runner_speeds m_speeds;
     std::optional<backend_selector> m_selector;
 };
 
--- a/src/plugins/backends/tests/load_simulation.cpp
+++ b/src/plugins/backends/tests/load_simulation.cpp
@@ -135,7 +135,8 @@
         for (unsigned zone = 0; zone < zones; ++zone) {
             location.regions[zoneName(zone)] = regionName(zone);
         }
-        vm.selector = std::make_unique<backend_selector>(location, m_choices, m_prefillSpeed, m_filter, rules);
+        vm.selector =
+            std::make_unique<backend_selector>(location, m_choices, m_prefillSpeed, m_filter, m_speeds, rules);
         backend_list_read list;
         for (unsigned runner = 0; runner < m_deployment.runners; ++runner) {
             backend_entry entry;
@@ -365,6 +366,7 @@
     prefill_speed m_prefillSpeed;
     zone_evacuations m_evacuations;
     placement_filter m_filter{m_evacuations, {}};
+    runner_speeds m_speeds;
     std::vector<simulated_runner> m_runners;
     std::vector<unsigned> m_total;
     std::deque<simulated_vm> m_vms;
