forwarding: Refuse requests that can't start in time

The line start_too_late and the status field refused_by_forecast show it. The daemon and platform_test were not built for this commit.

--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -183,6 +183,8 @@
     request_isolated,
     /// The limits of all runners leave the request no time to start.
     runners_at_limit,
+    /// The requests that wait already leave the request no time to start.
+    queueing_delay_too_long,
 };
 
 struct refuse_forward {
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -41,6 +41,7 @@
     {refusal_reason::prompt_part_isolated, "prompt_part_isolated"},
     {refusal_reason::request_isolated, "request_isolated"},
     {refusal_reason::runners_at_limit, "runners_at_limit"},
+    {refusal_reason::queueing_delay_too_long, "queueing_delay_too_long"},
 });
 
 } // namespace
--- a/src/plugins/forwarding/active_request.h
+++ b/src/plugins/forwarding/active_request.h
@@ -39,7 +39,7 @@
     steady_time deadline;
     /// When the request was last queued for lack of a runner with free capacity.
     steady_time queuedAt;
-    /// Time until the limits of the runners let the request start, when it is refused for them.
+    /// Added to the Retry-After: time until the limits of the runners let the request start, or part of the backlog.
     duration limitDelay{};
     std::optional<active_attempt> current;
     /// Runners that are not tried again before the others.
@@ -67,6 +67,12 @@
     /// Error answer of a runner; sent to the caller when no other attempt succeeds.
     runner_answer_pointer failureAnswer;
 
+    /// Empty for a request without the key of an organisation.
+    organisation_id organisation() const
+    {
+        return match.organisation == nullptr ? organisation_id() : match.organisation->id;
+    }
+
     const forward_route &route() const
     {
         return *match.route;
--- a/src/plugins/forwarding/forward_flow.cpp
+++ b/src/plugins/forwarding/forward_flow.cpp
@@ -151,7 +151,7 @@
         return;
     }
     const unsigned priority = active.match.priority();
-    if (m_queue.countBefore(active.service.value(), priority) == 0 && tryStart(active, actions)) {
+    if (m_queue.countBefore(active.service, priority) == 0 && tryStart(active, actions)) {
         return;
     }
     if (!m_activeRequests.contains(active.request.request)) {
@@ -162,16 +162,17 @@
         return;
     }
     active.queuedAt = now();
-    if (refuseAtLimit(active, actions)) {
+    if (refuseAtLimit(active, actions) || refuseByForecast(active, actions)) {
         return;
     }
-    m_queue.push(active.request.request, active.service.value(), priority);
+    m_queue.push(
+        {active.request.request, active.organisation(), priority, latestUsefulStart(active)}, active.service, now());
     scheduleDeadline(active);
 }
 
 bool forward_flow::refuseAtLimit(active_request &active, action_list &actions)
 {
-    const std::size_t before = m_queue.countBefore(active.service.value(), active.match.priority());
+    const std::size_t before = m_queue.countBefore(active.service, active.match.priority());
     const std::optional<duration> delay = m_environment.backends->limitDelay(requirementsOf(active, {}), before);
     if (delay && now() + *delay <= queueDeadline(active)) {
         return false;
@@ -183,6 +184,33 @@
     return true;
 }
 
+bool forward_flow::refuseByForecast(active_request &active, action_list &actions)
+{
+    // The prediction is for new requests: a repeated one may have used up part of its time at a runner.
+    if (active.attempts > 0) {
+        return false;
+    }
+    const std::optional<duration> delay =
+        m_queue.predictedDelay(active.service, active.organisation(), active.match.priority(), now());
+    if (!delay || now() + *delay <= queueDeadline(active)) {
+        return false;
+    }
+    ++m_refusedByForecast;
+    actions.push_back(startTooLateLine(active, *delay, queueDeadline(active) - now()));
+    active.limitDelay = spreadOverBacklog(*delay, *m_environment.random);
+    refuse(active, refusal_reason::queueing_delay_too_long, actions);
+    return true;
+}
+
+steady_time forward_flow::latestUsefulStart(const active_request &active) const
+{
+    const bool isPlain = active.engine == nullptr;
+    const duration prefill = isPlain
+        ? duration::zero()
+        : m_environment.backends->estimatePrefill(active.model, active.request.promptTokens).prefillTime;
+    return active.arrivedAt + active.route().objective - prefill;
+}
+
 bool forward_flow::tryStart(active_request &active, action_list &actions)
 {
     version_rule rule;
@@ -221,6 +249,7 @@
     if (m_environment.rollouts != nullptr) {
         m_environment.rollouts->attemptStarted(active.service, choice.version, active.attempts == 0);
     }
+    m_queue.noteStart(active.service, active.organisation(), active.match.priority(), now());
     ++active.attempts;
     ++active.attemptsThatMayHaveRun;
     active.triedRunners.insert(choice.runner);
@@ -531,7 +560,7 @@
         endAttempt(active, attempt_end::cancelled);
     }
     const request_id request = active.request.request;
-    m_queue.remove(request);
+    m_queue.remove(request, now());
     m_deadlines.clear(request);
     m_activeRequests.erase(request);
 }
@@ -553,7 +582,7 @@
 
 void forward_flow::dispatchWaiting(action_list &actions)
 {
-    m_queue.dispatch([&](const request_id &request) {
+    m_queue.dispatch(now(), [&](const request_id &request) {
         const auto found = m_activeRequests.find(request);
         return found == m_activeRequests.end() || refuseIfTooLate(found->second, actions)
             || tryStart(found->second, actions);
@@ -661,4 +690,9 @@
     return m_queue.size();
 }
 
+std::uint64_t forward_flow::refusedByForecast() const
+{
+    return m_refusedByForecast;
+}
+
 } // namespace crocuslane
--- a/src/plugins/forwarding/forward_flow.h
+++ b/src/plugins/forwarding/forward_flow.h
@@ -54,6 +54,8 @@
     /// Description of the request that has been in progress longest; empty when there is none.
     std::string describeOldest() const;
     std::size_t waiting() const;
+    /// Requests refused since the start because they would not have started in time.
+    std::uint64_t refusedByForecast() const;
 
 private:
     steady_time now() const;
@@ -72,6 +74,9 @@
     std::optional<backend_choice> pickForRetry(const active_request &active) const;
     /// Refuses a request that the limits of all runners don't let start before its queue deadline.
     bool refuseAtLimit(active_request &active, action_list &actions);
+    /// Refuses a new request that is predicted not to start before its queue deadline.
+    bool refuseByForecast(active_request &active, action_list &actions);
+    steady_time latestUsefulStart(const active_request &active) const;
     bool tryStart(active_request &active, action_list &actions);
     void startOrWait(active_request &active, action_list &actions);
     void startAttempt(active_request &active,
@@ -115,6 +120,7 @@
     std::unordered_map<request_id, active_request> m_activeRequests;
     std::unordered_map<attempt_number, request_id> m_requestByAttempt;
     attempt_number m_lastAttempt = 0;
+    std::uint64_t m_refusedByForecast = 0;
 };
 
 } // namespace crocuslane
--- a/src/plugins/forwarding/forwarding_plugin.cpp
+++ b/src/plugins/forwarding/forwarding_plugin.cpp
@@ -103,6 +103,7 @@
     {
         status["requests"] = m_flow->size();
         status["waiting"] = m_flow->waiting();
+        status["refused_by_forecast"] = m_flow->refusedByForecast();
         m_suspects->describe(status);
         if (const std::string oldest = m_flow->describeOldest(); !oldest.empty()) {
             status["oldest"] = oldest;
--- a/src/plugins/forwarding/refusals.cpp
+++ b/src/plugins/forwarding/refusals.cpp
@@ -1,5 +1,7 @@
 #include "plugins/forwarding/refusals.h"
 
+#include <algorithm>
+
 namespace crocuslane {
 
 namespace {
@@ -12,6 +14,9 @@
 // minute at least.
 constexpr std::chrono::milliseconds isolatedRetryAfter{15'000};
 
+// A rate that has fallen for a moment must not keep callers away for minutes.
+constexpr std::chrono::seconds longestBacklogDelay{30};
+
 } // namespace
 
 duration retryAfter(refusal_reason reason, random_source &random)
@@ -26,6 +31,11 @@
     return minimumRetryAfter + std::chrono::milliseconds(random.below(retryAfterJitterMilliseconds));
 }
 
+duration spreadOverBacklog(duration backlog, random_source &random)
+{
+    return fromSeconds(random.unit() * toSeconds(std::min<duration>(backlog, longestBacklogDelay)));
+}
+
 std::optional<refusal_reason> refusalOf(crash_suspects::verdict verdict)
 {
     switch (verdict) {
--- a/src/plugins/forwarding/request_log.cpp
+++ b/src/plugins/forwarding/request_log.cpp
@@ -88,6 +88,17 @@
              {"expected_ms", milliseconds(choice.expectedDelay)}}};
 }
 
+log_decision startTooLateLine(const active_request &active, duration delay, duration timeLeft)
+{
+    return {"start_too_late",
+            active.request.request,
+            {{"service", active.service.value()},
+             {"organisation", active.organisation().value()},
+             {"priority", std::to_string(active.match.priority())},
+             {"predicted_ms", milliseconds(delay)},
+             {"queue_left_ms", milliseconds(timeLeft)}}};
+}
+
 log_decision silentRunnerLeftLine(const active_request &active, const backend_choice &next)
 {
     return {"silent_runner_left",
--- a/src/plugins/forwarding/request_log.h
+++ b/src/plugins/forwarding/request_log.h
@@ -13,6 +13,8 @@
 log_decision attemptFailedLine(const active_request &active, attempt_failure failure, steady_time now);
 /// @p choice is the runner of the larger model, which active.model names already.
 log_decision answerEscalatedLine(const active_request &active, const backend_choice &choice);
+/// @p delay is the predicted time until the start, @p timeLeft the time until the queue deadline.
+log_decision startTooLateLine(const active_request &active, duration delay, duration timeLeft);
 /// @p next is the runner that takes the request over.
 log_decision silentRunnerLeftLine(const active_request &active, const backend_choice &next);
 log_decision requestFinishedLine(const active_request &active, std::string_view outcome, steady_time now);
--- a/src/plugins/forwarding/tests/forward_flow_test.cpp
+++ b/src/plugins/forwarding/tests/forward_flow_test.cpp
@@ -644,6 +644,57 @@
     CHECK(elsewhere.retryAfter <= std::chrono::milliseconds(1200));
 }
 
+// Guards against refusals without evidence: when a burst meets full runners, nothing is known of their rate.
+TEST_CASE_METHOD(forward_flow_fixture, "runners full, no start seen yet, queues all requests", "[forwarding]")
+{
+    m_backends.runners = {"a"};
+    m_backends.busy = {"a"};
+    for (unsigned each = 0; each < 30; ++each) {
+        CHECK(all<refuse_forward>(send("/look/", "burst-" + std::to_string(each))).empty());
+    }
+    CHECK(m_flow->waiting() == 30);
+}
+
+// Guards against a request that waits until its queue deadline although the queue ahead can't have started by then, and
+// against callers that are refused together and return together.
+TEST_CASE_METHOD(forward_flow_fixture,
+                 "runners full, long queue ahead, is refused at once with the backlog as Retry-After",
+                 "[forwarding]")
+{
+    m_backends.runners = {"a"};
+    attempt_number running = one<start_forward>(send("/look/", "first")).attempt;
+    send("/look/", "second");
+    send("/look/", "third");
+    constexpr unsigned startsSeen = 12;
+    for (unsigned each = 0; each < startsSeen; ++each) {
+        wait(std::chrono::milliseconds(100));
+        complete(running);
+        action_list actions;
+        m_flow->dispatchWaiting(actions);
+        running = one<start_forward>(actions).attempt;
+        CHECK(all<refuse_forward>(send("/look/", "steady-" + std::to_string(each))).empty());
+    }
+    // Ten starts per second, and half a second until the queue deadline.
+    std::set<duration> retryTimes;
+    for (unsigned each = 0; each < 30; ++each) {
+        const auto refused = all<refuse_forward>(send("/look/", "burst-" + std::to_string(each)));
+        if (!refused.empty()) {
+            CHECK(refused[0].reason == refusal_reason::queueing_delay_too_long);
+            CHECK(refused[0].retryAfter >= std::chrono::milliseconds(300));
+            CHECK(refused[0].retryAfter <= std::chrono::milliseconds(2000));
+            retryTimes.insert(refused[0].retryAfter);
+        }
+    }
+    CHECK(m_flow->waiting() >= 4);
+    CHECK(m_flow->waiting() <= 6);
+    CHECK(m_flow->refusedByForecast() >= 24);
+    CHECK(retryTimes.size() >= 20);
+    // Once the queue is empty, a single request is tried again.
+    wait(std::chrono::seconds(1));
+    CHECK(m_flow->waiting() == 0);
+    CHECK(all<refuse_forward>(send("/look/", "calm")).empty());
+}
+
 // Guards against a refusal that says not run for a request that may have run.
 TEST_CASE_METHOD(forward_flow_fixture,
                  "runners at their limits, request was lost at a runner, is answered as may have run",
--- a/src/plugins/forwarding/tests/forward_queue_test.cpp
+++ b/src/plugins/forwarding/tests/forward_queue_test.cpp
@@ -13,16 +13,21 @@
 protected:
     forward_queue_fixture()
     {
-        m_queue.push(request_id("late-urgent"), "model", 0);
-        m_queue.push(request_id("first"), "model", 2);
-        m_queue.push(request_id("second"), "model", 2);
-        m_queue.push(request_id("desk"), "desk", 1);
+        push("late-urgent", "model", 0);
+        push("first", "model", 2);
+        push("second", "model", 2);
+        push("desk", "desk", 1);
+    }
+
+    void push(const std::string &request, const std::string &service, unsigned priority)
+    {
+        m_queue.push({request_id(request), organisation_id(), priority, steady_time()}, service_id(service), {});
     }
 
     std::vector<std::string> dispatch(std::size_t room)
     {
         std::vector<std::string> started;
-        m_queue.dispatch([&](const request_id &request) {
+        m_queue.dispatch({}, [&](const request_id &request) {
             if (started.size() == room) {
                 return false;
             }
@@ -50,7 +55,7 @@
 TEST_CASE_METHOD(forward_queue_fixture, "queue, one service without capacity, others are dispatched", "[forwarding]")
 {
     std::vector<std::string> started;
-    m_queue.dispatch([&](const request_id &request) {
+    m_queue.dispatch({}, [&](const request_id &request) {
         const bool hasRoom = request == request_id("desk");
         if (hasRoom) {
             started.push_back(request.value());
@@ -64,10 +69,10 @@
 // Guards against a new request that overtakes those that wait.
 TEST_CASE_METHOD(forward_queue_fixture, "queue, requests that go before a priority, are counted", "[forwarding]")
 {
-    CHECK(m_queue.countBefore("model", 0) == 1);
-    CHECK(m_queue.countBefore("model", 2) == 3);
-    CHECK(m_queue.countBefore("other", 2) == 0);
-    m_queue.remove(request_id("first"));
-    CHECK(m_queue.countBefore("model", 2) == 2);
+    CHECK(m_queue.countBefore(service_id("model"), 0) == 1);
+    CHECK(m_queue.countBefore(service_id("model"), 2) == 3);
+    CHECK(m_queue.countBefore(service_id("other"), 2) == 0);
+    m_queue.remove(request_id("first"), {});
+    CHECK(m_queue.countBefore(service_id("model"), 2) == 2);
     CHECK_FALSE(m_queue.contains(request_id("first")));
 }
