--- a/src/libs/kernel/action.h
+++ b/src/libs/kernel/action.h
@@ -187,6 +187,8 @@
     runners_evacuated,
     /// No runner is in a home region of the request's route and organisation.
     no_runner_at_home,
+    /// The requests that wait already leave the request no time to start.
+    queueing_delay_too_long,
 };
 
 struct refuse_forward {
--- a/src/libs/kernel/forward_types.cpp
+++ b/src/libs/kernel/forward_types.cpp
@@ -43,6 +43,7 @@
     {refusal_reason::runners_at_limit, "runners_at_limit"},
     {refusal_reason::runners_evacuated, "runners_evacuated"},
     {refusal_reason::no_runner_at_home, "no_runner_at_home"},
+    {refusal_reason::queueing_delay_too_long, "queueing_delay_too_long"},
 });
 
 } // namespace
