http_server: bounds on connections, progress and allocated bytes

Clients that left bodies, heads or connections unfinished kept all connections of a port, and memory exceeded that of the VM. A port at its limit became silent, because libmicrohttpd listens again and applies timeouts only when it runs.

Answer heads with a status outside 100 to 599, another version than 1.x or two different lengths end the attempt as lost.

--- a/src/libs/net/answer_head_reader.cpp
+++ b/src/libs/net/answer_head_reader.cpp
@@ -18,6 +18,21 @@
     return character >= '0' && character <= '9';
 }
 
+/// "HTTP/1.1 200", and a reason or nothing. The versions from 2 on have no heads of text.
+bool isStatusLine(std::string_view line)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t statusAt = version.size() + 2;
+    constexpr std::size_t statusEnd = statusAt + 3;
+    if (line.size() < statusEnd || !line.starts_with(version) || !isDigit(line[version.size()])
+        || line[statusAt - 1] != ' ') {
+        return false;
+    }
+    const bool isInRange = line[statusAt] >= '1' && line[statusAt] <= '5';
+    return isInRange && isDigit(line[statusAt + 1]) && isDigit(line[statusAt + 2])
+        && (line.size() == statusEnd || line[statusEnd] == ' ');
+}
+
 bool isFieldName(std::string_view text)
 {
     return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char character) {
@@ -93,7 +108,7 @@
 
 bool answer_head_reader::beginHead(std::string_view line, std::uint32_t status)
 {
-    if (!line.starts_with(statusLinePrefix) || containsStatusLine(line, 1)) {
+    if (!isStatusLine(line) || containsStatusLine(line, 1)) {
         return false;
     }
     m_head = {status, {}};
@@ -107,8 +122,14 @@
     if (colon == std::string_view::npos || !isFieldName(line.substr(0, colon)) || containsStatusLine(line, colon)) {
         return false;
     }
-    m_head.fields.push_back(
-        {std::string(line.substr(0, colon)), std::string(withoutSurroundingSpace(line.substr(colon + 1)))});
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = withoutSurroundingSpace(line.substr(colon + 1));
+    // With two different lengths, the end of the answer is not known (RFC 9112, section 6.3).
+    const std::string *earlier = m_head.find(name);
+    if (earlier != nullptr && equalsIgnoringCase(name, "Content-Length") && *earlier != value) {
+        return false;
+    }
+    m_head.fields.push_back({std::string(name), std::string(value)});
     return true;
 }
 
--- a/src/libs/net/connection_exchange.cpp
+++ b/src/libs/net/connection_exchange.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr std::size_t minimumBodyCapacity = 256;
+// Two strings in the list of fields, and two with the links of a node in the table by name.
+constexpr std::size_t fieldOverheadBytes = 192;
 constexpr std::size_t streamBlockBytes = 16384;
 // A client that has left more of a stream unread is too slow for it, or its runner sends without end.
 constexpr std::size_t maximumUnsentStreamBytes = 1UL << 20;
@@ -105,19 +108,50 @@
     if (content.isShed) {
         return;
     }
-    if (m_keptBytes != nullptr && !m_keptBytes->tryTake(data.size())) {
-        discardBody();
-        content.isShed = true;
+    std::string &body = content.body;
+    const std::size_t size = body.size() + data.size();
+    if (m_keptBytes != nullptr && size > body.capacity()) {
+        const std::size_t capacity = std::max({size, body.capacity() + body.capacity() / 2, minimumBodyCapacity});
+        // While the body is copied, both blocks exist.
+        if (!tryTake(capacity)) {
+            discardBody();
+            content.isShed = true;
+            return;
+        }
+        body.reserve(capacity);
+        releaseKeptBytes(std::exchange(m_bodyBytes, capacity));
+    }
+    body.append(data);
+}
+
+bool connection_exchange::tryTake(std::size_t bytes)
+{
+    while (!m_keptBytes->tryTake(bytes)) {
+        if (!onBytesExhausted || !onBytesExhausted()) {
+            return false;
+        }
+    }
+    m_countedBytes += bytes;
+    return true;
+}
+
+void connection_exchange::countHead()
+{
+    if (m_keptBytes == nullptr) {
         return;
     }
-    m_countedBytes += m_keptBytes != nullptr ? data.size() : 0;
-    content.body.append(data);
+    std::size_t bytes = 0;
+    for (const header_field &field : content.fields) {
+        bytes += fieldOverheadBytes + 2 * (field.name.size() + field.value.size());
+    }
+    m_keptBytes->take(bytes);
+    m_countedBytes += bytes;
 }
 
 void connection_exchange::discardBody()
 {
-    releaseKeptBytes(content.body.size());
-    content.body = {};
+    releaseKeptBytes(std::exchange(m_bodyBytes, 0));
+    std::string().swap(content.body);
 }
 
 void connection_exchange::releaseKeptBytes(std::size_t bytes)
@@ -137,6 +171,9 @@
 void connection_exchange::suspend()
 {
     m_isSuspended = true;
+    if (onWaiting) {
+        onWaiting(true);
+    }
     MHD_suspend_connection(m_connection);
 }
 
@@ -147,6 +184,9 @@
     }
     m_isSuspended = false;
     m_needsRun = true;
+    if (onWaiting) {
+        onWaiting(false);
+    }
     MHD_resume_connection(m_connection);
 }
 
@@ -193,6 +233,9 @@
     if (exchange.m_unsent.size() > 0) {
         const std::size_t count = exchange.m_unsent.read(buffer, size);
         exchange.releaseKeptBytes(count);
+        if (exchange.onSent) {
+            exchange.onSent(count);
+        }
         return static_cast<ssize_t>(count);
     }
     if (exchange.isAborted) {
--- a/src/libs/net/connection_exchange.h
+++ b/src/libs/net/connection_exchange.h
@@ -6,6 +6,7 @@
 
 #include <microhttpd.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -45,6 +46,8 @@
     /// Adds to the body of the request. Beyond the limit of kept bytes, the body is discarded and marked as shed.
     void appendBody(std::string_view data);
     void discardBody();
+    /// Counts the memory of the request's head.
+    void countHead();
     int socket() const;
     void suspend();
     void resume();
@@ -59,11 +62,18 @@
     bool isStarted = false;
     bool isPassedToHandler = false;
     bool isAborted = false;
+    /// Called when the limit of kept bytes is reached; true when it has released some.
+    std::function<bool()> onBytesExhausted;
+    /// Called when the client takes a part of a stream.
+    std::function<void(std::size_t bytes)> onSent;
+    /// Called when the connection waits for an answer or its next part (true), or for the client.
+    std::function<void(bool isWaiting)> onWaiting;
     /// Watches for the end of the connection from the delivery to the handler to the end of the request.
     std::unique_ptr<close_watcher> watcher;
 
 private:
     void resetConnection();
+    bool tryTake(std::size_t bytes);
     void releaseKeptBytes(std::size_t bytes);
     static ssize_t readStream(void *self, std::uint64_t position, char *buffer, std::size_t size);
 
@@ -72,6 +82,8 @@
     byte_budget *m_keptBytes;
     /// What this exchange has counted in m_keptBytes.
     std::size_t m_countedBytes = 0;
+    /// Part of m_countedBytes for the body of the request, as allocated.
+    std::size_t m_bodyBytes = 0;
     std::uint32_t m_status = 200;
     header_list m_headers;
     /// Body of an answer that is given as a whole.
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,7 +1,9 @@
 #include "net/http_server.h"
 
 #include "base/guarded_call.h"
+#include "net/byte_budget.h"
 #include "net/connection_exchange.h"
+#include "net/connection_table.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
 #include "net/socket_address.h"
@@ -12,6 +14,8 @@
 #include <boost/leaf/error.hpp>
 #include <microhttpd.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
@@ -29,6 +33,12 @@
 
 // libmicrohttpd may have to run again at once; the limit lets the loop call its other handlers in between.
 constexpr int maximumRunsPerIteration = 16;
+// Connections that are accepted beyond the limit while the ones that they replace are being closed.
+constexpr std::size_t replacementConnections = 64;
+// libmicrohttpd applies its timeouts, and listens again after its limit was reached, only when it runs.
+constexpr std::chrono::milliseconds checkInterval{500};
+// Bodies without progress for this long are given up when the memory for bodies is used up.
+constexpr std::chrono::seconds stalledBodyTime{1};
 // GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
 constexpr const char *tlsPriorities = "NORMAL:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 
@@ -123,9 +133,12 @@
             exchange.hasChunks = version != MHD_HTTP_VERSION_1_0;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.content);
             MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &exchange.content.query);
+            exchange.countHead();
+            table.setPhase(exchange.socket(), connection_phase::reading_body, now());
             return MHD_YES;
         }
         if (*dataSize > 0) {
+            table.addBytes(exchange.socket(), *dataSize, now());
             if (exchange.content.body.size() + *dataSize > limits.bodyBytes) {
                 exchange.content.isOversized = true;
                 exchange.discardBody();
@@ -137,6 +150,7 @@
         }
         if (!exchange.isPassedToHandler) {
             exchange.isPassedToHandler = true;
+            table.setPhase(exchange.socket(), connection_phase::sending, now());
             watchForClose(*sharedExchange);
             passToHandler(*sharedExchange);
         }
@@ -154,11 +168,74 @@
     {
         auto *sharedExchange = new std::shared_ptr<connection_exchange>(
             std::make_shared<connection_exchange>(connection, needsRun, limits.keptBytes));
-        (*sharedExchange)->content.target = target;
+        connection_exchange &exchange = **sharedExchange;
+        exchange.content.target = target;
+        const int socket = exchange.socket();
+        exchange.onBytesExhausted = [this, socket] { return releaseStalledBody(socket); };
+        exchange.onSent = [this, socket](std::size_t bytes) { table.addBytes(socket, bytes, now()); };
+        exchange.onWaiting = [this, socket](bool isWaiting) {
+            table.setPhase(socket, isWaiting ? connection_phase::processing : connection_phase::sending, now());
+        };
         openExchanges.insert(sharedExchange->get());
+        table.setPhase(socket, connection_phase::reading_head, now());
         return sharedExchange;
     }
 
+    static steady_time now()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    /// libmicrohttpd closes a connection when it reads its end.
+    void evict(int socket)
+    {
+        ++evictedCount;
+        table.setPhase(socket, connection_phase::closing, now());
+        ::shutdown(socket, SHUT_RDWR);
+        needsRun = true;
+    }
+
+    /// False when no body other than that of @p reader is stalled.
+    bool releaseStalledBody(int reader)
+    {
+        const std::optional<int> stalled = table.stalledBody(now() - stalledBodyTime);
+        if (!stalled || *stalled == reader) {
+            return false;
+        }
+        evict(*stalled);
+        for (connection_exchange *exchange : openExchanges) {
+            if (exchange->socket() == *stalled) {
+                exchange->discardBody();
+                exchange->content.isShed = true;
+            }
+        }
+        return true;
+    }
+
+    void openConnection(int socket)
+    {
+        enableDeadPeerDetection(socket);
+        table.open(socket, now());
+        while (table.openCount() > limits.connections) {
+            const std::optional<int> longest = table.longestWithoutProgress();
+            if (!longest || *longest == socket) {
+                return;
+            }
+            evict(*longest);
+        }
+    }
+
+    void checkConnections()
+    {
+        const connection_timeouts timeouts{limits.idleTimeout, limits.headTimeout, limits.transferTimeout};
+        for (const int socket : table.expired(timeouts, now())) {
+            evict(socket);
+        }
+        needsRun = true;
+        runDaemon();
+        checkTimer = loop.schedule(checkInterval, [this] { checkConnections(); });
+    }
+
     void watchForClose(const std::shared_ptr<connection_exchange> &exchange)
     {
         exchange->watcher = std::make_unique<close_watcher>(
@@ -189,6 +266,7 @@
             return;
         }
         const std::shared_ptr<connection_exchange> exchange = *sharedExchange;
+        table.setPhase(exchange->socket(), connection_phase::idle, now());
         exchange->close();
         openExchanges.erase(exchange.get());
         delete sharedExchange;
@@ -231,13 +309,17 @@
         return static_cast<private_data *>(self)->beginRequest(connection, target);
     }
 
-    static void connectionCallback(void * /*self*/,
+    static void connectionCallback(void *self,
                                    MHD_Connection *connection,
                                    void ** /*requestState*/,
                                    MHD_ConnectionNotificationCode code)
     {
+        auto &owner = *static_cast<private_data *>(self);
+        const int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-            enableDeadPeerDetection(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+            owner.openConnection(socket);
+        } else {
+            owner.table.close(socket);
         }
     }
 
@@ -245,6 +327,9 @@
     http_handler &handler;
     http_server_limits limits;
     std::set<connection_exchange *> openExchanges;
+    connection_table table;
+    std::uint64_t evictedCount = 0;
+    timer_number checkTimer{};
     tls_identity identity;
     MHD_Daemon *daemon = nullptr;
     int epollDescriptor = -1;
@@ -264,6 +349,7 @@
         return;
     }
     d->loop.reactor().remove_handler(d.get(), ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+    d->loop.cancel(d->checkTimer);
     // libmicrohttpd aborts the process when it is stopped with suspended connections.
     for (connection_exchange *exchange : d->openExchanges) {
         exchange->resume();
@@ -299,13 +385,13 @@
                                  d.get(),
                                  MHD_OPTION_NOTIFY_CONNECTION,
                                  &private_data::connectionCallback,
-                                 nullptr,
+                                 d.get(),
                                  MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                                  d->limits.headerBytes,
                                  MHD_OPTION_CONNECTION_TIMEOUT,
                                  static_cast<unsigned>(d->limits.idleTimeout.count()),
                                  MHD_OPTION_CONNECTION_LIMIT,
-                                 static_cast<unsigned>(d->limits.connections),
+                                 static_cast<unsigned>(d->limits.connections + replacementConnections),
                                  MHD_OPTION_ARRAY,
                                  options.data(),
                                  MHD_OPTION_END);
@@ -318,8 +404,15 @@
         return leaf::new_error(
             net_error{net_error_code::listen_failed, "cannot listen on " + address + ": " + std::strerror(errno)});
     }
+    if (d->limits.receiveBufferBytes > 0) {
+        // Accepted sockets inherit it. Set on them, it would come after the first bytes.
+        const int listener = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+        ::setsockopt(
+            listener, SOL_SOCKET, SO_RCVBUF, &d->limits.receiveBufferBytes, sizeof d->limits.receiveBufferBytes);
+    }
     d->epollDescriptor = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     d->loop.reactor().register_handler(d.get(), ACE_Event_Handler::READ_MASK);
+    d->checkTimer = d->loop.schedule(checkInterval, [self = d.get()] { self->checkConnections(); });
     return {};
 }
 
@@ -328,6 +421,11 @@
     return !d->openExchanges.empty();
 }
 
+std::uint64_t http_server::evictedCount() const
+{
+    return d->evictedCount;
+}
+
 void http_server::setBodyLimit(std::size_t bytes)
 {
     d->limits.bodyBytes = bytes;
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -53,6 +53,7 @@
 
 struct http_server_limits {
     std::size_t bodyBytes = 0;
+    /// Beyond it, a new connection replaces the one that has made no progress for the longest time.
     std::size_t connections = 0;
     /// A connection without a request in progress is closed after this time; zero for never.
     std::chrono::seconds idleTimeout{0};
@@ -61,6 +62,12 @@
     /// Bounds the bodies of requests and answers that are kept at one time, together with what else counts in it; null
     /// for no bound.
     byte_budget *keptBytes = nullptr;
+    /// Time for the head of a request after its first line; zero for any.
+    std::chrono::seconds headTimeout{0};
+    /// Time in which a body, or an answer that is being read, must make progress; zero for any.
+    std::chrono::seconds transferTimeout{0};
+    /// Receive buffer of a connection, outside the memory of the process; 0 for the system's default.
+    int receiveBufferBytes = 0;
 };
 
 /// Paths of PEM files. Unless both are set, the server uses plain HTTP.
@@ -92,6 +99,8 @@
     boost::leaf::result<void> listen(const std::string &address, const tls_files &files = {});
     /// True while a request is being read or its answer is being sent.
     bool isBusy() const;
+    /// Number of connections that were closed for new ones, for the memory of bodies, or after a timeout.
+    std::uint64_t evictedCount() const;
     /// Sets the maximum size of the bodies of requests from now on.
     void setBodyLimit(std::size_t bytes);
     /// Sends the parts of answers that were added outside of handleRequest(). Must be called after adding them.
