Choose among model runners near the cheapest, weight by cost at plain services only

Model runners are chosen among those within 6 ms of the cheapest again, with the aged counts and the limit on the preferred runner; plain services keep the weighted choice, so that a slow runner gets requests in proportion to its speed.

--- a/src/plugins/backends/backend_selector.cpp
+++ b/src/plugins/backends/backend_selector.cpp
@@ -27,8 +27,12 @@
 // time to prefill that part: a cached part doesn't delay the runner's other requests either, and other VMs can use it
 // there too.
 constexpr double preferredRunnerGain = 2.0;
-// The comparison of half-lives, limits and scales is in docs/design/even-load.md.
+// Runners whose costs differ by less count as equal. A choice weighted by cost spreads load more evenly, but it returns
+// to runners that lose answers, so that more sound requests are taken for the cause of crashes.
+constexpr double equalCostMilliseconds = 6.0;
+// Of the choice by weight at plain services.
 constexpr double costScaleMilliseconds = 4.0;
+// The comparison of half-lives and limits is in docs/design/even-load.md.
 constexpr std::chrono::milliseconds countHalfLife{1000};
 constexpr double preferredLoadLimit = 1.25;
 constexpr double preferredAllowance = 5.0;
@@ -55,6 +59,7 @@
 selection_rules defaultSelectionRules()
 {
     return {std::make_shared<aged_load>(countHalfLife),
+            std::make_shared<near_cheapest_choice>(equalCostMilliseconds),
             std::make_shared<cost_weighted_choice>(costScaleMilliseconds),
             preferredLoadLimit,
             preferredAllowance};
@@ -116,7 +121,8 @@
         return std::nullopt;
     }
     preferCached(available, requirements, now);
-    return available[m_rules.choice->choose(available, m_random)];
+    const runner_choice &choice = requirements.engine == nullptr ? *m_rules.plainChoice : *m_rules.choice;
+    return available[choice.choose(available, m_random)];
 }
 
 void backend_selector::preferCached(std::vector<scored_backend> &available,
--- a/src/plugins/backends/backend_selector.h
+++ b/src/plugins/backends/backend_selector.h
@@ -23,7 +23,10 @@
 /// How load is estimated and a runner is chosen among those that could take a request.
 struct selection_rules {
     std::shared_ptr<const load_estimate> load;
+    /// Of runners that run a model engine.
     std::shared_ptr<const runner_choice> choice;
+    /// Of runners of plain services, weighted by cost so that a slow runner gets requests in proportion to its speed.
+    std::shared_ptr<const runner_choice> plainChoice;
     /// The runner preferred for a prompt part has at most this many times the mean requests of the runners that could
     /// take the request; beyond it, the next one is preferred.
     double preferredLoadLimit = 0.0;
--- a/src/plugins/backends/tests/even_load_test.cpp
+++ b/src/plugins/backends/tests/even_load_test.cpp
@@ -36,15 +36,15 @@
         constexpr double none = 1e9;
         return {{"former", formerRules()},
                 {"former, subset", formerRules()},
-                {"two runners", {latest, two, none}},
-                {"free slots", {latest, free, none}},
-                {"cost weighted", {latest, weighted, none}},
-                {"limit", {latest, near, 1.25, 1.0}},
-                {"aged", {aged, near, none}},
-                {"aged, limit", {aged, near, 1.25, 1.0}},
-                {"aged, limit, two runners", {aged, two, 1.25, 1.0}},
-                {"aged, limit, free slots", {aged, free, 1.25, 1.0}},
-                {"aged, limit, cost weighted", {aged, weighted, 1.25, 1.0}},
+                {"two runners", {latest, two, two, none}},
+                {"free slots", {latest, free, free, none}},
+                {"cost weighted", {latest, weighted, weighted, none}},
+                {"limit", {latest, near, near, 1.25, 1.0}},
+                {"aged", {aged, near, near, none}},
+                {"aged, limit", {aged, near, near, 1.25, 1.0}},
+                {"aged, limit, two runners", {aged, two, two, 1.25, 1.0}},
+                {"aged, limit, free slots", {aged, free, free, 1.25, 1.0}},
+                {"aged, limit, cost weighted", {aged, weighted, weighted, 1.25, 1.0}},
                 {"default", defaultSelectionRules()}};
     }
 
@@ -84,7 +84,8 @@
 
     static selection_rules formerRules()
     {
-        return {std::make_shared<latest_load>(), std::make_shared<near_cheapest_choice>(6.0), 1e9};
+        const auto near = std::make_shared<near_cheapest_choice>(6.0);
+        return {std::make_shared<latest_load>(), near, near, 1e9};
     }
 };
 
