Refuse requests that leave no room for an answer before they run

Cause: libmicrohttpd keeps the head of a request, 64 bytes for each field, query argument, cookie and trailer field, what it has read of further requests, and the head of the answer in one block of 32 KiB. When the answer's head finds no room, it closes the connection. Requests were passed on all the same; the room was estimated from the fields alone, used only for the runner's head, and never below 1 KiB.

Evidence: a server with one client. With each of eight forms the last 3 to 5 counts before the library's own 431 were handled and closed, and the limits follow from 64 bytes a record and the bytes of the head (table in the postmortem). No connection was evicted.

--- a/src/libs/net/connection_exchange.h
+++ b/src/libs/net/connection_exchange.h
@@ -56,6 +56,8 @@
     void close();
 
     http_request content;
+    /// Bytes of the body that have been read, those that were discarded included.
+    std::size_t bodyBytes = 0;
     /// The client takes an answer of unknown length in chunks; otherwise the answer ends with the connection.
     bool hasChunks = true;
     answer_phase phase = answer_phase::waiting;
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,11 +1,13 @@
 #include "net/http_server.h"
 
 #include "base/guarded_call.h"
+#include "net/answer_room.h"
 #include "net/byte_budget.h"
 #include "net/connection_exchange.h"
 #include "net/connection_table.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
+#include "net/input_position.h"
 #include "net/socket_address.h"
 #include "net/tls_identity.h"
 
@@ -138,6 +140,7 @@
             return MHD_YES;
         }
         if (*dataSize > 0) {
+            exchange.bodyBytes += *dataSize;
             table.addBytes(exchange.socket(), *dataSize, now());
             if (exchange.content.body.size() + *dataSize > limits.bodyBytes) {
                 exchange.content.isOversized = true;
@@ -149,8 +152,13 @@
             return MHD_YES;
         }
         if (!exchange.isPassedToHandler) {
-            exchange.isPassedToHandler = true;
             table.setPhase(exchange.socket(), connection_phase::sending, now());
+            if (!hasAnswerRoom(connection, exchange)) {
+                ++refusedHeadCount;
+                exchange.respond(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, {}, "header: too many fields\n");
+                return exchange.queueAnswer();
+            }
+            exchange.isPassedToHandler = true;
             watchForClose(*sharedExchange);
             passToHandler(*sharedExchange);
         }
@@ -164,6 +172,28 @@
         return exchange.queueAnswer();
     }
 
+    /// A request that has run without room for its answer would be lost: libmicrohttpd closes the connection.
+    bool hasAnswerRoom(MHD_Connection *connection, connection_exchange &exchange) const
+    {
+        input_position *position = positionOf(connection);
+        position->add(requestBytes(connection, exchange.bodyBytes));
+        exchange.content.answerHeadBytes =
+            answerRoom(connection, exchange.content, limits.headerBytes, isTls() ? nullptr : position);
+        return exchange.content.answerHeadBytes >= limits.answerHeadBytes;
+    }
+
+    static input_position *positionOf(MHD_Connection *connection)
+    {
+        const auto *information = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+        return static_cast<input_position *>(information->socket_context);
+    }
+
+    /// The bytes on the socket are then not those of the requests.
+    bool isTls() const
+    {
+        return !identity.certificate.empty();
+    }
+
     void *beginRequest(MHD_Connection *connection, const char *target)
     {
         auto *sharedExchange = new std::shared_ptr<connection_exchange>(
@@ -311,15 +341,18 @@
 
     static void connectionCallback(void *self,
                                    MHD_Connection *connection,
-                                   void ** /*requestState*/,
+                                   void **socketContext,
                                    MHD_ConnectionNotificationCode code)
     {
         auto &owner = *static_cast<private_data *>(self);
         const int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            *socketContext = new input_position(socket);
             owner.openConnection(socket);
         } else {
             owner.table.close(socket);
+            delete static_cast<input_position *>(*socketContext);
+            *socketContext = nullptr;
         }
     }
 
@@ -329,6 +362,7 @@
     std::set<connection_exchange *> openExchanges;
     connection_table table;
     std::uint64_t evictedCount = 0;
+    std::uint64_t refusedHeadCount = 0;
     timer_number checkTimer{};
     tls_identity identity;
     MHD_Daemon *daemon = nullptr;
@@ -426,6 +460,11 @@
     return d->evictedCount;
 }
 
+std::uint64_t http_server::refusedHeadCount() const
+{
+    return d->refusedHeadCount;
+}
+
 void http_server::setBodyLimit(std::size_t bytes)
 {
     d->limits.bodyBytes = bytes;
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -32,6 +32,8 @@
     std::string target = {};
     /// All fields in their order, as the client wrote them.
     header_list fields = {};
+    /// Size of the largest answer head that the connection has memory for.
+    std::size_t answerHeadBytes = 0;
 };
 
 /// One request and its answer. Calls after the end of the answer or of the connection have no effect.
@@ -68,6 +70,8 @@
     std::chrono::seconds transferTimeout{0};
     /// Receive buffer of a connection, outside the memory of the process; 0 for the system's default.
     int receiveBufferBytes = 0;
+    /// A request that leaves less of @c headerBytes for the head of its answer is refused with 431.
+    std::size_t answerHeadBytes = 2048;
 };
 
 /// Paths of PEM files. Unless both are set, the server uses plain HTTP.
@@ -101,6 +105,8 @@
     bool isBusy() const;
     /// Number of connections that were closed for new ones, for the memory of bodies, or after a timeout.
     std::uint64_t evictedCount() const;
+    /// Number of requests that were refused because they left too little memory for the heads of their answers.
+    std::uint64_t refusedHeadCount() const;
     /// Sets the maximum size of the bodies of requests from now on.
     void setBodyLimit(std::size_t bytes);
     /// Sends the parts of answers that were added outside of handleRequest(). Must be called after adding them.
