Send nothing further to a runner that says in an answer that it leaves

Cause: nothing read the field. A VM learned of a leaving runner from the list in the store alone, so that a store that is silent, or an entry that stays ready, left it in use.

Change: every answer head is read. The process of the runner (id and start time) gets no further attempt; selection, queue, refusals and the removal of missing entries ask backend_record::isLeaving(). The statement outlasts the entry by a minute and ends with the process. A misdirected answer or one that names another attempt says nothing. One log line a process, leaving_runners in the status line.

--- a/src/libs/kernel/forward_types.h
+++ b/src/libs/kernel/forward_types.h
@@ -152,6 +152,13 @@
     std::string unreadable;
 };
 
+/// Whether a runner says in an answer that it is about to end.
+struct stated_leaving {
+    bool isLeaving = false;
+    /// The beginning of a statement that can't be read.
+    std::string unreadable;
+};
+
 /// The attempt that an answer names.
 enum class answer_identity {
     /// No attempt.
@@ -181,6 +188,7 @@
     std::optional<unsigned> confidence;
     std::optional<reported_load> load;
     stated_rate_limit rateLimit;
+    stated_leaving leaving;
     /// How long the runner stays cold; empty when the answer doesn't state it.
     std::optional<duration> coldLeft;
 };
--- a/src/plugins/backends/backend_table.cpp
+++ b/src/plugins/backends/backend_table.cpp
@@ -29,6 +29,11 @@
     return keyOf(entry.id, entry.startedUnixMilliseconds);
 }
 
+bool backend_record::isLeaving() const
+{
+    return statesLeaving || entry.condition == backend_condition::leaving;
+}
+
 unsigned backend_record::remoteRunning() const
 {
     unsigned total = 0;
@@ -71,17 +76,58 @@
             addOrUpdate(entry, list.epoch, log);
         }
     }
+    applyStatements(now);
     for (auto &[id, record] : m_backends) {
         if (listed.contains(id) || record.removeAt) {
             continue;
         }
-        const bool isReady = record.entry.condition == backend_condition::ready;
-        record.removeAt = isReady ? std::max(now, list.removalsIgnoredUntil) : now;
+        record.removeAt = record.isLeaving() ? now : std::max(now, list.removalsIgnoredUntil);
         record.history.replaced(list.epoch);
     }
     expire(now, log);
 }
 
+// Without a start time, a process can't be told from the one that follows it under the same id: its statement expires.
+void backend_table::applyStatements(steady_time now)
+{
+    for (auto &[id, record] : m_backends) {
+        if (record.entry.startedUnixMilliseconds != 0) {
+            m_leaving.keep(record.process(), now);
+        }
+    }
+    m_leaving.expire(now);
+    for (auto &[id, record] : m_backends) {
+        record.statesLeaving = m_leaving.contains(record.process());
+    }
+}
+
+bool backend_table::noteLeaving(attempt_number attempt, const stated_leaving &stated, steady_time now, action_list &log)
+{
+    const attempt_load *load = findAttempt(attempt);
+    if (load == nullptr) {
+        return false;
+    }
+    const leaving_runners::change change = m_leaving.note(load->process, stated, now);
+    if (change == leaving_runners::change::unreadable) {
+        log.push_back(log_decision{
+            "runner_leaving_unreadable", {}, {{"runner", load->runner.value()}, {"value", stated.unreadable}}});
+    }
+    if (change != leaving_runners::change::leaves) {
+        return false;
+    }
+    log.push_back(log_decision{"runner_leaving_stated", {}, {{"runner", load->runner.value()}}});
+    backend_record *record = find(load->runner);
+    if (record != nullptr && record->process() == load->process) {
+        record->statesLeaving = true;
+    }
+    return true;
+}
+
+std::size_t backend_table::leavingCount() const
+{
+    return m_leaving.size();
+}
+
 entry_history::age
 backend_table::ageOf(backend_record &record, const backend_entry &listed, log_epoch epoch, bool isFirstOfEpoch)
 {
@@ -177,7 +223,7 @@
 {
     std::vector<backend_record *> found;
     for (auto &[id, record] : m_backends) {
-        if (record.entry.service == service && record.entry.condition == backend_condition::ready) {
+        if (record.entry.service == service && !record.isLeaving()) {
             found.push_back(&record);
         }
     }
--- a/src/plugins/backends/backend_table.h
+++ b/src/plugins/backends/backend_table.h
@@ -6,6 +6,7 @@
 #include "plugins/backends/entry_history.h"
 #include "plugins/backends/failure_record.h"
 #include "plugins/backends/gone_runners.h"
+#include "plugins/backends/leaving_runners.h"
 #include "plugins/backends/prompt_cache.h"
 #include "plugins/backends/remote_use_history.h"
 
@@ -51,9 +52,13 @@
     unsigned localRunningAtLoad = 0;
     failure_record failures;
     prompt_cache prompts;
+    /// The process has stated in an answer that it leaves, whatever the list says.
+    bool statesLeaving = false;
 
     /// The process that is listed.
     runner_key process() const;
+    /// By the list or by its own statement.
+    bool isLeaving() const;
     unsigned remoteRunning() const;
     /// Requests in progress at the runner: the larger of the VMs' own counts and the number from the runner's recent
     /// load report, corrected by the requests that this VM started or ended since.
@@ -79,6 +84,11 @@
     backend_record *find(const runner_id &runner);
     std::size_t size() const;
 
+    /// Records what the runner of an attempt states of its leaving. Returns true when it gets no requests from now on.
+    bool noteLeaving(attempt_number attempt, const stated_leaving &stated, steady_time now, action_list &log);
+    /// Number of processes that have stated that they leave.
+    std::size_t leavingCount() const;
+
     void attemptStarted(attempt_number attempt, const attempt_load &load);
     /// Records that the answer of an attempt has begun and returns the attempt's load; null when this was recorded
     /// before or the attempt has ended.
@@ -101,9 +111,11 @@
     void addOrUpdate(const backend_entry &entry, log_epoch epoch, action_list &log);
     void update(backend_record &record, const backend_entry &entry, action_list &log);
     void add(const backend_entry &entry, action_list &log);
+    void applyStatements(steady_time now);
 
     std::unordered_map<runner_id, backend_record> m_backends;
     gone_runners m_gone;
+    leaving_runners m_leaving;
     /// Of the newest list.
     log_epoch m_epoch = 0;
     std::unordered_map<attempt_number, attempt_load> m_attempts;
--- a/src/plugins/backends/backends_plugin.cpp
+++ b/src/plugins/backends/backends_plugin.cpp
@@ -69,6 +69,7 @@
             readServices(*read);
         } else if (const auto *received = std::get_if<forward_head_received>(&event)) {
             noteColdness(*received);
+            noteLeaving(*received, actions);
             announceIf(m_limitExchange.headReceived(*received, now(), actions));
         } else if (const auto *connected = std::get_if<peer_connected>(&event)) {
             m_limitExchange.connected(connected->peer, now(), actions);
@@ -256,6 +257,7 @@
     {
         status["runners"] = m_table.size();
         status["limited_runners"] = m_limits.size();
+        status["leaving_runners"] = m_table.leavingCount();
         status["evacuated_zones"] = m_evacuations.names();
         status["slow_runners"] = m_speeds.slowProcesses(now());
         status["remote_load_age_ms"] = std::chrono::round<std::chrono::milliseconds>(m_remoteUse.age(now())).count();
@@ -356,6 +358,18 @@
         }
     }
 
+    void noteLeaving(const forward_head_received &received, action_list &actions)
+    {
+        const forward_answer_head &head = received.head;
+        // Another runner's answer says nothing about this one.
+        if (head.isMisdirected || head.identity == answer_identity::other) {
+            return;
+        }
+        if (m_table.noteLeaving(received.attempt, head.leaving, now(), actions)) {
+            announcePlacement();
+        }
+    }
+
     void announcePermits()
     {
         if (now() >= m_nextPermit) {
--- a/src/plugins/backends/placement_filter.cpp
+++ b/src/plugins/backends/placement_filter.cpp
@@ -60,7 +60,7 @@
                                                              const backend_requirements &requirements) const
 {
     const backend_entry &entry = record.entry;
-    if (entry.condition == backend_condition::leaving) {
+    if (record.isLeaving()) {
         return placement_obstacle::leaving;
     }
     if (const auto found = locationObstacle(entry, requirements)) {
@@ -100,7 +100,7 @@
     bool hasUntried = false;
     for (const backend_record *record : runners) {
         const backend_entry &entry = record->entry;
-        if (entry.condition == backend_condition::leaving) {
+        if (record->isLeaving()) {
             continue;
         }
         if (!obstacle(*record, requirements)) {
