Bound the answers of the store, of services and lines of engines

A faulty one could fill the memory of the process.

Cause: the limit of a body was an option of the HTTP client that only tests set; the default was none.

Answers of runners on the hosted platform keep their own bounds.

--- a/src/libs/edge/backend_client.cpp
+++ b/src/libs/edge/backend_client.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds connectTimeout{500};
 constexpr std::string_view dataPrefix = "data: ";
+constexpr std::size_t maximumLineBytes = 256UL * 1024UL;
+// A million tokens.
+constexpr std::size_t maximumStreamBytes = 256UL * 1024UL * 1024UL;
 
 } // namespace
 
@@ -61,6 +64,7 @@
     request.body = std::move(text);
     request.connectTimeout = connectTimeout;
     request.silenceLimit = action.silenceLimit;
+    request.maximumBodyBytes = maximumStreamBytes;
     const auto stream = std::make_shared<stream_state>();
     const attempt_number attempt = action.attempt;
     request.onStatus = [stream](std::uint32_t status) { stream->status = status; };
@@ -84,6 +88,20 @@
         start = end + 1;
     }
     stream.buffer.erase(0, start);
+    if (stream.buffer.size() > maximumLineBytes) {
+        giveUp(attempt);
+    }
+}
+
+void backend_client::giveUp(attempt_number attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    m_http.cancel(found->second.transfer);
+    m_attempts.erase(found);
+    m_sink.deliver(attempt_failed{attempt, attempt_failure::oversized});
 }
 
 void backend_client::handleStreamLine(attempt_number attempt, stream_state &stream, std::string_view line)
--- a/src/libs/edge/backend_client.h
+++ b/src/libs/edge/backend_client.h
@@ -43,6 +43,8 @@
     struct attempt_state;
 
     void handleStreamData(attempt_number attempt, stream_state &stream, std::string_view data);
+    /// Ends an attempt whose stream has a line without end.
+    void giveUp(attempt_number attempt);
     void handleStreamLine(attempt_number attempt, stream_state &stream, std::string_view line);
     void handleStreamEnd(attempt_number attempt, const stream_state &stream, bool wasSent);
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -49,8 +49,8 @@
     /// answers included, or a trailer take more bytes. The same holds for a head that is malformed, or that another
     /// status line is a part of, for malformed chunks, and for chunk extensions that take far more bytes than the data.
     std::size_t maximumHeadBytes = 64UL * 1024UL;
-    /// The same for the body; zero for no limit.
-    std::size_t maximumBodyBytes = 0;
+    /// The same for the body; zero for no limit, where the receiver bounds what it keeps.
+    std::size_t maximumBodyBytes = 16UL * 1024UL * 1024UL;
 
     /// Called once, when status line and headers of the final answer have been read.
     std::function<void(const http_response_head &head)> onHead;
