Keep heads once and within the limit, and room for answers

Cause: the head of a request was copied before its body had come, twice (list and table by name), and counted beyond the limit. The first part of a stream then found no room, and the connection was closed.

Change: the head is copied once, when the request is complete (request_head), and within the limit; beyond it the request is refused with 503 before it runs. Bodies leave a quarter of the limit free and heads an eighth, for answers. When answers need more, stalled bodies are discarded, then the stream with most unread bytes is broken off, from 64 KiB on, in place of the one that is being sent.

--- a/src/libs/edge/request_reader.cpp
+++ b/src/libs/edge/request_reader.cpp
@@ -32,8 +32,8 @@
 
 std::string header(const http_request &request, const std::string &name)
 {
-    const auto found = request.headers.find(name);
-    return found == request.headers.end() ? std::string() : found->second;
+    const std::string *value = request.header(name);
+    return value == nullptr ? std::string() : *value;
 }
 
 bool isValidId(std::string_view text)
--- a/src/libs/edge/tests/request_reader_test.cpp
+++ b/src/libs/edge/tests/request_reader_test.cpp
@@ -26,7 +26,8 @@
         return std::get<parsed_model_request>(readModelRequest(m_request, "generated")).request.request;
     }
 
-    http_request m_request{"POST", "/v1/chat/completions", {}, {{"authorization", "Bearer key"}}, "", false};
+    http_request m_request{
+        .method = "POST", .path = "/v1/chat/completions", .fields = {{"authorization", "Bearer key"}}};
 };
 
 constexpr const char *validBody =
@@ -71,11 +72,11 @@
 // makes it another request.
 TEST_CASE_METHOD(request_reader_fixture, "request id, same id of the caller, differs by key and content", "[edge]")
 {
-    m_request.headers["x-request-id"] = "one";
+    m_request.fields.push_back({"x-request-id", "one"});
     const request_id first = requestIdOf(R"({"model":"a","messages":[{"content":"x"}]})");
     CHECK(first == requestIdOf(R"({"model":"a","messages":[{"content":"x"}],"metadata":{"resume_from":5}})"));
     CHECK_FALSE(first == requestIdOf(R"({"model":"a","messages":[{"content":"y"}]})"));
-    m_request.headers["authorization"] = "Bearer other";
+    m_request.fields.push_back({"authorization", "Bearer other"});
     CHECK_FALSE(first == requestIdOf(R"({"model":"a","messages":[{"content":"x"}]})"));
 }
 
--- a/src/libs/net/byte_budget.cpp
+++ b/src/libs/net/byte_budget.cpp
@@ -1,19 +1,45 @@
 #include "net/byte_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslane {
 
-byte_budget::byte_budget(std::size_t limit)
+byte_budget::byte_budget(std::size_t limit, std::size_t answerReserve)
     : m_limit(limit)
+    , m_answerReserve(std::min(answerReserve, limit))
 {
 }
 
-bool byte_budget::tryTake(std::size_t bytes)
+void byte_budget::setReclaimer(reclaimer reclaimer)
 {
-    if (bytes > m_limit - std::min(m_used, m_limit)) {
+    m_reclaimer = std::move(reclaimer);
+}
+
+std::size_t byte_budget::limitOf(byte_use use) const
+{
+    switch (use) {
+    case byte_use::body:
+        return m_limit - m_answerReserve;
+    case byte_use::head:
+        return m_limit - m_answerReserve / 2;
+    case byte_use::answer:
+        break;
+    }
+    return m_limit;
+}
+
+bool byte_budget::tryTake(std::size_t bytes, byte_use use)
+{
+    const std::size_t limit = limitOf(use);
+    if (bytes > limit) {
         return false;
     }
+    while (m_used > limit - bytes) {
+        if (!m_reclaimer || !m_reclaimer(use)) {
+            return false;
+        }
+    }
     m_used += bytes;
     return true;
 }
--- a/src/libs/net/connection_exchange.cpp
+++ b/src/libs/net/connection_exchange.cpp
@@ -1,6 +1,7 @@
 #include "net/connection_exchange.h"
 
 #include "net/byte_budget.h"
+#include "net/request_head.h"
 
 #include <sys/socket.h>
 
@@ -13,8 +14,7 @@
 namespace {
 
 constexpr std::size_t minimumBodyCapacity = 256;
-// Two strings in the list of fields, and two with the links of a node in the table by name.
-constexpr std::size_t fieldOverheadBytes = 192;
+constexpr std::size_t smallBodyBytes = 4096;
 constexpr std::size_t streamBlockBytes = 16384;
 // A client that has left more of a stream unread is too slow for it, or its runner sends without end.
 constexpr std::size_t maximumUnsentStreamBytes = 1UL << 20;
@@ -73,18 +73,32 @@
         return true;
     }
     const bool isTooSlow = m_unsent.size() + data.size() > maximumUnsentStreamBytes;
-    if (isTooSlow || (m_keptBytes != nullptr && !m_keptBytes->tryTake(data.size()))) {
-        releaseKeptBytes(m_unsent.size());
-        m_unsent.clear();
-        abort();
+    if (isTooSlow || !tryTake(data.size(), byte_use::answer)) {
+        breakOff();
+        return false;
+    }
+    if (isAborted) {
+        // Broken off to make room for its own bytes.
+        releaseKeptBytes(data.size());
         return false;
     }
-    m_countedBytes += m_keptBytes != nullptr ? data.size() : 0;
     m_unsent.append(data);
     resume();
     return true;
 }
 
+void connection_exchange::breakOff()
+{
+    releaseKeptBytes(m_unsent.size());
+    m_unsent.clear();
+    abort();
+}
+
+std::size_t connection_exchange::unsentBytes() const
+{
+    return m_unsent.size();
+}
+
 void connection_exchange::finish()
 {
     if (phase == answer_phase::closed) {
@@ -113,9 +127,12 @@
     if (m_keptBytes != nullptr && size > body.capacity()) {
         const std::size_t capacity = std::max({size, body.capacity() + body.capacity() / 2, minimumBodyCapacity});
         // While the body is copied, both blocks exist.
-        if (!tryTake(capacity)) {
-            discardBody();
-            content.isShed = true;
+        if (!tryTake(capacity, capacity <= smallBodyBytes ? byte_use::head : byte_use::body)) {
+            shed();
+            return;
+        }
+        if (content.isShed) {
+            releaseKeptBytes(capacity);
             return;
         }
         body.reserve(capacity);
@@ -124,28 +141,30 @@
     body.append(data);
 }
 
-bool connection_exchange::tryTake(std::size_t bytes)
+bool connection_exchange::tryTake(std::size_t bytes, byte_use use)
 {
-    while (!m_keptBytes->tryTake(bytes)) {
-        if (!onBytesExhausted || !onBytesExhausted()) {
-            return false;
-        }
+    if (m_keptBytes == nullptr) {
+        return true;
     }
-    m_countedBytes += bytes;
-    return true;
+    const bool isTaken = m_keptBytes->tryTake(bytes, use);
+    m_countedBytes += isTaken ? bytes : 0;
+    return isTaken;
 }
 
-void connection_exchange::countHead()
+void connection_exchange::takeHead()
 {
-    if (m_keptBytes == nullptr) {
-        return;
+    if (!tryTake(headMemory(m_connection), byte_use::head)) {
+        shed();
     }
-    std::size_t bytes = 0;
-    for (const header_field &field : content.fields) {
-        bytes += fieldOverheadBytes + 2 * (field.name.size() + field.value.size());
+    if (!content.isShed) {
+        copyHead(m_connection, content);
     }
-    m_keptBytes->take(bytes);
-    m_countedBytes += bytes;
+}
+
+void connection_exchange::shed()
+{
+    discardBody();
+    content.isShed = true;
 }
 
 void connection_exchange::discardBody()
--- a/src/libs/net/connection_exchange.h
+++ b/src/libs/net/connection_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/block_buffer.h"
+#include "net/byte_budget.h"
 #include "net/close_watcher.h"
 #include "net/http_server.h"
 
@@ -46,8 +47,14 @@
     /// Adds to the body of the request. Beyond the limit of kept bytes, the body is discarded and marked as shed.
     void appendBody(std::string_view data);
     void discardBody();
-    /// Counts the memory of the request's head.
-    void countHead();
+    /// Discards the body and marks the request as shed.
+    void shed();
+    /// Copies the fields and the query of the request; beyond the limit of kept bytes, it is marked as shed instead.
+    void takeHead();
+    /// Closes the connection of a stream and discards what its client has not read.
+    void breakOff();
+    /// Bytes of a stream that its client has not read.
+    std::size_t unsentBytes() const;
     int socket() const;
     void suspend();
     void resume();
@@ -64,8 +71,6 @@
     bool isStarted = false;
     bool isPassedToHandler = false;
     bool isAborted = false;
-    /// Called when the limit of kept bytes is reached; true when it has released some.
-    std::function<bool()> onBytesExhausted;
     /// Called when the client takes a part of a stream.
     std::function<void(std::size_t bytes)> onSent;
     /// Called when the connection waits for an answer or its next part (true), or for the client.
@@ -75,7 +80,7 @@
 
 private:
     void resetConnection();
-    bool tryTake(std::size_t bytes);
+    bool tryTake(std::size_t bytes, byte_use use);
     void releaseKeptBytes(std::size_t bytes);
     static ssize_t readStream(void *self, std::uint64_t position, char *buffer, std::size_t size);
 
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -19,7 +19,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <set>
@@ -41,32 +40,11 @@
 constexpr std::chrono::milliseconds checkInterval{500};
 // Bodies without progress for this long are given up when the memory for bodies is used up.
 constexpr std::chrono::seconds stalledBodyTime{1};
+// Streams of which a client has left more unread are broken off when the memory for answers is used up.
+constexpr std::size_t unreadStreamBytes = 64UL * 1024UL;
 // GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
 constexpr const char *tlsPriorities = "NORMAL:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 
-std::string lowerCase(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char character) {
-        return static_cast<char>(std::tolower(character));
-    });
-    return result;
-}
-
-MHD_Result collectHeader(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
-{
-    auto &request = *static_cast<http_request *>(target);
-    request.fields.push_back({name, value ? value : ""});
-    request.headers[lowerCase(name)] = request.fields.back().value;
-    return MHD_YES;
-}
-
-MHD_Result collectQuery(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
-{
-    (*static_cast<std::map<std::string, std::string> *>(target))[name] = value ? value : "";
-    return MHD_YES;
-}
-
 std::vector<MHD_OptionItem> tlsOptions(tls_identity &identity)
 {
     return {{MHD_OPTION_HTTPS_MEM_CERT, 0, identity.certificate.data()},
@@ -133,9 +111,6 @@
             exchange.content.method = method;
             exchange.content.path = url;
             exchange.hasChunks = version != MHD_HTTP_VERSION_1_0;
-            MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.content);
-            MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &exchange.content.query);
-            exchange.countHead();
             table.setPhase(exchange.socket(), connection_phase::reading_body, now());
             return MHD_YES;
         }
@@ -153,6 +128,8 @@
         }
         if (!exchange.isPassedToHandler) {
             table.setPhase(exchange.socket(), connection_phase::sending, now());
+            // Not before the body has been read: the heads of requests that never end would take memory.
+            exchange.takeHead();
             if (!hasAnswerRoom(connection, exchange)) {
                 ++refusedHeadCount;
                 exchange.respond(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, {}, "header: too many fields\n");
@@ -201,7 +178,6 @@
         connection_exchange &exchange = **sharedExchange;
         exchange.content.target = target;
         const int socket = exchange.socket();
-        exchange.onBytesExhausted = [this, socket] { return releaseStalledBody(socket); };
         exchange.onSent = [this, socket](std::size_t bytes) { table.addBytes(socket, bytes, now()); };
         exchange.onWaiting = [this, socket](bool isWaiting) {
             table.setPhase(socket, isWaiting ? connection_phase::processing : connection_phase::sending, now());
@@ -225,23 +201,42 @@
         needsRun = true;
     }
 
-    /// False when no body other than that of @p reader is stalled.
-    bool releaseStalledBody(int reader)
+    /// Makes room for bytes that are to be kept. A client that has stopped sending gives way to all others, one that
+    /// doesn't read its stream to answers.
+    bool reclaim(byte_use use)
+    {
+        return releaseStalledBody() || (use == byte_use::answer && breakOffUnreadStream());
+    }
+
+    bool releaseStalledBody()
     {
         const std::optional<int> stalled = table.stalledBody(now() - stalledBodyTime);
-        if (!stalled || *stalled == reader) {
+        if (!stalled) {
             return false;
         }
         evict(*stalled);
         for (connection_exchange *exchange : openExchanges) {
             if (exchange->socket() == *stalled) {
-                exchange->discardBody();
-                exchange->content.isShed = true;
+                exchange->shed();
             }
         }
         return true;
     }
 
+    bool breakOffUnreadStream()
+    {
+        const auto most =
+            std::max_element(openExchanges.begin(), openExchanges.end(), [](const auto *left, const auto *right) {
+                return left->unsentBytes() < right->unsentBytes();
+            });
+        if (most == openExchanges.end() || (*most)->unsentBytes() < unreadStreamBytes) {
+            return false;
+        }
+        ++evictedCount;
+        (*most)->breakOff();
+        return true;
+    }
+
     void openConnection(int socket)
     {
         enableDeadPeerDetection(socket);
@@ -372,13 +367,27 @@
     bool isRunScheduled = false;
 };
 
+const std::string *http_request::header(std::string_view name) const
+{
+    const auto last = std::find_if(fields.rbegin(), fields.rend(), [name](const header_field &field) {
+        return equalsIgnoringCase(field.name, name);
+    });
+    return last == fields.rend() ? nullptr : &last->value;
+}
+
 http_server::http_server(event_loop &loop, http_handler &handler, http_server_limits limits)
     : d(std::make_unique<private_data>(loop, handler, limits))
 {
+    if (limits.keptBytes != nullptr) {
+        limits.keptBytes->setReclaimer([server = d.get()](byte_use use) { return server->reclaim(use); });
+    }
 }
 
 http_server::~http_server()
 {
+    if (d->limits.keptBytes != nullptr) {
+        d->limits.keptBytes->setReclaimer({});
+    }
     if (!d->daemon) {
         return;
     }
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crocuslane {
@@ -18,12 +19,10 @@
 class event_loop;
 
 struct http_request {
-    std::string method;
-    std::string path;
-    std::map<std::string, std::string> query;
-    /// Names are in lower case. Of a repeated field, only the last value is in the map.
-    std::map<std::string, std::string> headers;
-    std::string body;
+    std::string method = {};
+    std::string path = {};
+    std::map<std::string, std::string> query = {};
+    std::string body = {};
     /// The body exceeded the limit and was discarded.
     bool isOversized = false;
     /// The body was discarded, because the bodies that the process keeps exceeded their limit together.
@@ -34,6 +33,9 @@
     header_list fields = {};
     /// Size of the largest answer head that the connection has memory for.
     std::size_t answerHeadBytes = 0;
+
+    /// Value of the last field with this name, in upper or lower case; null when there is none.
+    const std::string *header(std::string_view name) const;
 };
 
 /// One request and its answer. Calls after the end of the answer or of the connection have no effect.
@@ -61,8 +63,8 @@
     std::chrono::seconds idleTimeout{0};
     /// Memory for the header of a request; a longer header is refused.
     std::size_t headerBytes = 32768;
-    /// Bounds the bodies of requests and answers that are kept at one time, together with what else counts in it; null
-    /// for no bound.
+    /// Bounds the requests and answers that are kept at one time, together with what else counts in it; null for no
+    /// bound. Only one server may have it.
     byte_budget *keptBytes = nullptr;
     /// Time for the head of a request after its first line; zero for any.
     std::chrono::seconds headTimeout{0};
