--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -4,14 +4,15 @@
 #include "net/curl_request.h"
 #include "net/dead_peer_detection.h"
 #include "net/event_loop.h"
+#include "net/failed_connections.h"
 #include "net/idle_sockets.h"
+#include "net/paused_transfers.h"
 #include "net/socket_set.h"
 #include "net/work_share.h"
 
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -22,13 +23,8 @@
 namespace {
 
 constexpr long connectionCacheSize = 256;
-// After a reused connection has failed, its address gets only new connections for this long. Dead idle connections to
-// the address are closed by then.
-constexpr std::chrono::seconds freshConnectionTime{4};
 // libcurl ends a transfer with an error when a callback returns fewer bytes than it was given.
 constexpr std::size_t abortTransfer = 0;
-// The sockets are served between two paused transfers that go on.
-constexpr std::chrono::milliseconds shortestPause{1};
 
 } // namespace
 
@@ -67,6 +63,10 @@
               loop,
               [this](int socket, socket_events events) { socketReady(socket, events); },
               [this] { finishIteration(); })
+        , pausedTransfers(
+              loop,
+              [this](transfer_number number, steady_time now) { return waitTimeOf(number, now); },
+              [this](transfer_number number) { resume(number); })
     {
     }
 
@@ -152,30 +152,15 @@
         return transfer.request.method != "HEAD" && status != noContent && status != notModified;
     }
 
-    /// When a reused connection failed, the other idle connections to the address have probably failed for the same
-    /// cause.
     void recordFailure(const transfer &failed)
     {
         long connects = 0;
         curl_easy_getinfo(failed.handle, CURLINFO_NUM_CONNECTS, &connects);
         if (failed.hasStartedSending && connects == 0) {
-            freshConnectionsUntil[failed.request.address] = std::chrono::steady_clock::now() + freshConnectionTime;
+            failedConnections.add(failed.request.address, std::chrono::steady_clock::now());
         }
     }
 
-    bool requiresFreshConnection(const std::string &address)
-    {
-        const auto found = freshConnectionsUntil.find(address);
-        if (found == freshConnectionsUntil.end()) {
-            return false;
-        }
-        if (std::chrono::steady_clock::now() < found->second) {
-            return true;
-        }
-        freshConnectionsUntil.erase(found);
-        return false;
-    }
-
     void finish(transfer_number number, transfer_result result, std::uint32_t status)
     {
         const std::unique_ptr<transfer> ended = extract(number);
@@ -263,43 +248,18 @@
     void pause(transfer &paused, duration waitTime)
     {
         paused.isPaused = true;
-        pausedTransfers.push_back(paused.number);
-        scheduleResume(waitTime);
-    }
-
-    void scheduleResume(duration waitTime)
-    {
-        if (resumeTimer || pausedTransfers.empty()) {
-            return;
-        }
-        resumeTimer = loop.schedule(std::max<duration>(waitTime, shortestPause), [this] {
-            resumeTimer.reset();
-            resumeNext();
-        });
+        pausedTransfers.add(paused.number, waitTime);
     }
 
-    // Transfers go on one at a time, each followed by as much time for the rest of the loop.
-    void resumeNext()
+    std::optional<duration> waitTimeOf(transfer_number number, steady_time now) const
     {
-        const steady_time start = std::chrono::steady_clock::now();
-        const auto found = transfers.find(pausedTransfers.front());
-        if (found != transfers.end()) {
-            const duration waitTime = found->second->share.waitTime(start);
-            if (waitTime > duration::zero()) {
-                scheduleResume(waitTime);
-                return;
-            }
-        }
-        pausedTransfers.pop_front();
-        if (found != transfers.end()) {
-            resume(*found->second);
-        }
-        scheduleResume(std::chrono::steady_clock::now() - start);
+        const auto found = transfers.find(number);
+        return found == transfers.end() ? std::nullopt : std::optional(found->second->share.waitTime(now));
     }
 
-    void resume(transfer &paused)
+    void resume(transfer_number number)
     {
-        const transfer_number number = paused.number;
+        transfer &paused = *transfers.at(number);
         paused.isPaused = false;
         paused.share.resume(std::chrono::steady_clock::now());
         // libcurl passes on what it has kept, and reports an error of that only by its result.
@@ -461,11 +421,8 @@
     std::vector<std::unique_ptr<transfer>> cancelledInCallback;
     std::vector<transfer_number> startedInCallback;
     std::optional<timer_number> multiTimer;
-    /// In the order in which they go on.
-    std::deque<transfer_number> pausedTransfers;
-    std::optional<timer_number> resumeTimer;
-    /// Addresses that get only new connections until the given time.
-    std::map<std::string, steady_time> freshConnectionsUntil;
+    paused_transfers pausedTransfers;
+    failed_connections failedConnections;
 };
 
 http_client::http_client(event_loop &loop)
@@ -482,9 +439,6 @@
 
 http_client::~http_client()
 {
-    if (d->resumeTimer) {
-        d->loop.cancel(*d->resumeTimer);
-    }
     d->applyDeferred();
     while (!d->transfers.empty()) {
         d->cancel(d->transfers.begin()->first);
@@ -510,7 +464,9 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     // answer_body takes the data out of chunks.
     curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
-    if (content.idleLimit.count() > 0 && !d->requiresFreshConnection(content.address)) {
+    const bool mayReuse = content.idleLimit.count() > 0
+        && !d->failedConnections.requiresNewConnection(content.address, transfer.lastProgress);
+    if (mayReuse) {
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(content.idleLimit.count()));
     } else {
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
