--- a/src/libs/net/answer_body.cpp
+++ b/src/libs/net/answer_body.cpp
@@ -4,14 +4,29 @@
 
 namespace crocuslane {
 
+namespace {
+
+/// Whether bytes follow the head, whatever its fields say (RFC 9112, section 6.3).
+bool hasBody(const http_response_head &head, std::string_view method)
+{
+    constexpr std::uint32_t noContent = 204;
+    constexpr std::uint32_t notModified = 304;
+    return method != "HEAD" && head.status != noContent && head.status != notModified;
+}
+
+} // namespace
+
 answer_body::answer_body(std::size_t maximumBytes, std::size_t maximumTrailerBytes)
     : m_maximumBytes(maximumBytes)
     , m_maximumTrailerBytes(maximumTrailerBytes)
 {
 }
 
-bool answer_body::begin(const http_response_head &head)
+bool answer_body::begin(const http_response_head &head, std::string_view method)
 {
+    if (!hasBody(head, method)) {
+        return true;
+    }
     for (const header_field &field : head.fields) {
         if (!equalsIgnoringCase(field.name, "Transfer-Encoding") || equalsIgnoringCase(field.value, "identity")) {
             continue;
--- a/src/libs/net/answer_body.h
+++ b/src/libs/net/answer_body.h
@@ -18,8 +18,9 @@
     /// @p maximumBytes bounds the data, zero for no limit, and @p maximumTrailerBytes the trailer of a body in chunks.
     answer_body(std::size_t maximumBytes, std::size_t maximumTrailerBytes);
 
-    /// Reads from @p head how the body is coded. False for a coding that no request asks for.
-    bool begin(const http_response_head &head);
+    /// Reads from the head of the answer to a request with @p method how the body is coded. False for a coding that no
+    /// request asks for.
+    bool begin(const http_response_head &head, std::string_view method);
     /// The data in the next bytes of the connection, valid until the next call; may be empty. Nothing when the body is
     /// malformed or exceeds a bound.
     std::optional<std::string_view> read(std::string_view bytes);
--- a/src/libs/net/answer_room.cpp
+++ b/src/libs/net/answer_room.cpp
@@ -1,9 +1,11 @@
 #include "net/answer_room.h"
 
+#include "net/header_field.h"
 #include "net/input_position.h"
 
 #include <algorithm>
 #include <optional>
+#include <string_view>
 
 namespace crocuslane {
 
@@ -15,6 +17,8 @@
 constexpr std::size_t fieldDelimiterBytes = 4;
 // For the fields that libmicrohttpd adds to an answer, for its alignment, and for the smallest chunk of a stream.
 constexpr std::size_t ownBytes = 512;
+
+/// Zero in place of a negative difference.
 std::size_t difference(std::size_t from, std::size_t subtracted)
 {
     return from - std::min(from, subtracted);
@@ -35,13 +39,12 @@
 }
 
 /// libmicrohttpd splits a copy of the field.
-std::size_t cookieBytes(const header_list &fields)
+MHD_Result addCookieField(void *total, MHD_ValueKind /*kind*/, const char *name, const char *value)
 {
-    std::size_t bytes = 0;
-    for (const header_field &field : fields) {
-        bytes += equalsIgnoringCase(field.name, "Cookie") ? field.value.size() + 1 : 0;
+    if (value != nullptr && equalsIgnoringCase(name, "Cookie")) {
+        *static_cast<std::size_t *>(total) += std::string_view(value).size() + 1;
     }
-    return bytes;
+    return MHD_YES;
 }
 
 std::size_t headBytes(MHD_Connection *connection)
@@ -56,11 +59,18 @@
     return bytes;
 }
 
+std::size_t cookieBytes(MHD_Connection *connection)
+{
+    std::size_t bytes = 0;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &addCookieField, &bytes);
+    return bytes;
+}
+
 /// Memory that libmicrohttpd holds for a request that has been read to its end.
-std::size_t requestMemory(MHD_Connection *connection, const http_request &request)
+std::size_t requestMemory(MHD_Connection *connection)
 {
-    return headBytes(connection) + trailerBytes(connection) + recordBytes * countRecords(connection)
-        + cookieBytes(request.fields);
+    return headBytes(connection) + trailerBytes(connection) + cookieBytes(connection)
+        + recordBytes * countRecords(connection);
 }
 
 } // namespace
@@ -70,12 +80,9 @@
     return headBytes(connection) + bodyBytes + trailerBytes(connection);
 }
 
-std::size_t answerRoom(MHD_Connection *connection,
-                       const http_request &request,
-                       std::size_t connectionMemory,
-                       const input_position *position)
+std::size_t answerRoom(MHD_Connection *connection, std::size_t connectionMemory, const input_position *position)
 {
-    const std::size_t room = difference(connectionMemory, requestMemory(connection, request) + ownBytes);
+    const std::size_t room = difference(connectionMemory, requestMemory(connection) + ownBytes);
     // libmicrohttpd reads into a buffer of this size.
     const std::size_t mostReadAhead = connectionMemory / 2;
     const std::optional<std::size_t> readAhead = position != nullptr ? position->readAheadBytes() : std::nullopt;
--- a/src/libs/net/chunked_decoder.cpp
+++ b/src/libs/net/chunked_decoder.cpp
@@ -2,25 +2,25 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace crocuslane {
 
 namespace {
 
+// Of the size of a chunk.
 constexpr unsigned maximumDigits = 15;
 constexpr unsigned bitsPerDigit = 4;
 // Extensions of all chunks together may take this much and as much as the data.
 constexpr std::uint64_t extensionAllowanceBytes = 16384;
 
-/// 16 for a character that is no hexadecimal digit.
-unsigned digitValue(char character)
+std::optional<unsigned> hexadecimalDigit(char character)
 {
-    constexpr unsigned noDigit = 16;
     constexpr int base = 16;
-    unsigned value = noDigit;
-    std::from_chars(&character, &character + 1, value, base);
-    return value;
+    unsigned value = 0;
+    const auto result = std::from_chars(&character, &character + 1, value, base);
+    return result.ec == std::errc() ? std::optional(value) : std::nullopt;
 }
 
 } // namespace
@@ -72,10 +72,8 @@
 
 bool chunked_decoder::readSize(char character)
 {
-    constexpr unsigned base = 16;
-    const unsigned value = digitValue(character);
-    if (value < base) {
-        m_size = (m_size << bitsPerDigit) | value;
+    if (const std::optional<unsigned> digit = hexadecimalDigit(character)) {
+        m_size = (m_size << bitsPerDigit) | *digit;
         return ++m_digits <= maximumDigits;
     }
     if (m_digits == 0) {
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -138,20 +138,12 @@
             // libcurl reports success when the connection is closed inside the head.
             result = transfer_result::lost;
             status = 0;
-        } else if (hasBody(ended, status) && !ended.body.isComplete()) {
+        } else if (!ended.body.isComplete()) {
             result = transfer_result::lost;
         }
         finish(ended.number, result, status);
     }
 
-    /// Whether bytes follow the head, whatever its fields say.
-    static bool hasBody(const transfer &transfer, std::uint32_t status)
-    {
-        constexpr std::uint32_t noContent = 204;
-        constexpr std::uint32_t notModified = 304;
-        return transfer.request.method != "HEAD" && status != noContent && status != notModified;
-    }
-
     void recordFailure(const transfer &failed)
     {
         long connects = 0;
@@ -346,7 +338,7 @@
         case answer_head_reader::state::malformed:
             return abortTransfer;
         case answer_head_reader::state::complete:
-            if (!current.body.begin(current.head.head())) {
+            if (!current.body.begin(current.head.head(), current.request.method)) {
                 return abortTransfer;
             }
             current.owner->reportHead(current);
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -128,11 +128,7 @@
         }
         if (!exchange.isPassedToHandler) {
             table.setPhase(exchange.socket(), connection_phase::sending, now());
-            // Not before the body has been read: the heads of requests that never end would take memory.
-            exchange.takeHead();
-            if (!hasAnswerRoom(connection, exchange)) {
-                ++refusedHeadCount;
-                exchange.respond(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, {}, "header: too many fields\n");
+            if (!acceptRequest(connection, exchange)) {
                 return exchange.queueAnswer();
             }
             exchange.isPassedToHandler = true;
@@ -149,14 +145,25 @@
         return exchange.queueAnswer();
     }
 
-    /// A request that has run without room for its answer would be lost: libmicrohttpd closes the connection.
-    bool hasAnswerRoom(MHD_Connection *connection, connection_exchange &exchange) const
+    /// Completes the description of a request that has been read to its end; false when it is refused.
+    bool acceptRequest(MHD_Connection *connection, connection_exchange &exchange)
     {
-        input_position *position = positionOf(connection);
-        position->add(requestBytes(connection, exchange.bodyBytes));
-        exchange.content.answerHeadBytes =
-            answerRoom(connection, exchange.content, limits.headerBytes, isTls() ? nullptr : position);
-        return exchange.content.answerHeadBytes >= limits.answerHeadBytes;
+        // Not before the body has been read: the heads of requests that never end would take memory.
+        exchange.takeHead();
+        positionOf(connection)->add(requestBytes(connection, exchange.bodyBytes));
+        exchange.content.answerHeadBytes = answerRoomOf(connection);
+        // If the request ran, its answer would be lost: libmicrohttpd closes the connection.
+        if (exchange.content.answerHeadBytes < limits.answerHeadBytes) {
+            ++refusedHeadCount;
+            exchange.respond(MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, {}, "header: too many fields\n");
+            return false;
+        }
+        return true;
+    }
+
+    std::size_t answerRoomOf(MHD_Connection *connection) const
+    {
+        return answerRoom(connection, limits.headerBytes, isTls() ? nullptr : positionOf(connection));
     }
 
     static input_position *positionOf(MHD_Connection *connection)
@@ -165,7 +172,7 @@
         return static_cast<input_position *>(information->socket_context);
     }
 
-    /// The bytes on the socket are then not those of the requests.
+    /// With TLS, the bytes on the socket are not those of the requests.
     bool isTls() const
     {
         return !identity.certificate.empty();
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -25,7 +25,8 @@
     std::string body = {};
     /// The body exceeded the limit and was discarded.
     bool isOversized = false;
-    /// The body was discarded, because the bodies that the process keeps exceeded their limit together.
+    /// The body was discarded and the fields may be missing, because the requests that the process keeps exceeded their
+    /// limit together.
     bool isShed = false;
     /// Path and query as the client wrote them.
     std::string target = {};
