Split the tests of answers from http_test

The tests of how an answer is framed are in http_answer_test.cpp, and the server and client that both files use, with the search for a free port, in http_fixture.h, which answer_room_test uses too.

--- a/src/libs/net/tests/answer_room_test.cpp
+++ b/src/libs/net/tests/answer_room_test.cpp
@@ -1,11 +1,7 @@
-#include "net/event_loop.h"
-#include "net/http_server.h"
+#include "net/tests/http_fixture.h"
 #include "support/loop_wait.h"
 #include "support/raw_caller.h"
 
-#include <boost/leaf/handle_errors.hpp>
-#include <catch2/catch.hpp>
-
 #include <functional>
 #include <future>
 #include <memory>
@@ -13,7 +9,6 @@
 #include <vector>
 
 using namespace crocuslane;
-namespace errors = boost::leaf;
 
 namespace {
 
@@ -96,17 +91,7 @@
     answer_room_fixture()
         : m_server(m_loop, *this, limits())
     {
-        // Skips ports that other test runs use.
-        for (int port = 23200; port < 23300 && m_address.empty(); ++port) {
-            const std::string candidate = "127.0.0.1:" + std::to_string(port);
-            errors::try_handle_all(
-                [&]() -> errors::result<void> {
-                    BOOST_LEAF_CHECK(m_server.listen(candidate));
-                    m_address = candidate;
-                    return {};
-                },
-                [] {});
-        }
+        m_address = listenOnFreeAddress(m_server, 23200);
         REQUIRE_FALSE(m_address.empty());
     }
 
