End a request with its connection, whether or not its end is reported

Cause: libmicrohttpd closes a connection whose memory can't hold the query's arguments, and reports no end of the request. The server had allocated it when it was told the target, and freed it at the report. Such a request stayed in progress for good, so that a planned stop waits for it, with a pointer to a connection that no longer exists.

Change: the request belongs to the state of its connection, which the end of the connection frees.

--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -55,6 +55,18 @@
 } // namespace
 
 struct http_server::private_data : public ACE_Event_Handler {
+    /// What the server keeps for a connection of libmicrohttpd.
+    struct connection_state {
+        explicit connection_state(int socket)
+            : position(socket)
+        {
+        }
+
+        input_position position;
+        /// The request in progress; null between two requests.
+        std::shared_ptr<connection_exchange> exchange;
+    };
+
     private_data(event_loop &loop, http_handler &handler, http_server_limits limits)
         : loop(loop)
         , handler(handler)
@@ -104,8 +116,9 @@
                             std::size_t *dataSize,
                             void **requestState)
     {
-        auto *sharedExchange = static_cast<std::shared_ptr<connection_exchange> *>(*requestState);
-        connection_exchange &exchange = **sharedExchange;
+        const std::shared_ptr<connection_exchange> sharedExchange =
+            *static_cast<std::shared_ptr<connection_exchange> *>(*requestState);
+        connection_exchange &exchange = *sharedExchange;
         if (!exchange.isStarted) {
             exchange.isStarted = true;
             exchange.content.method = method;
@@ -132,8 +145,8 @@
                 return exchange.queueAnswer();
             }
             exchange.isPassedToHandler = true;
-            watchForClose(*sharedExchange);
-            passToHandler(*sharedExchange);
+            watchForClose(sharedExchange);
+            passToHandler(sharedExchange);
         }
         if (exchange.isAborted) {
             return MHD_NO;
@@ -150,7 +163,7 @@
     {
         // Not before the body has been read: the heads of requests that never end would take memory.
         exchange.takeHead();
-        positionOf(connection)->add(requestBytes(connection, exchange.bodyBytes));
+        stateOf(connection).position.add(requestBytes(connection, exchange.bodyBytes));
         exchange.content.answerHeadBytes = answerRoomOf(connection);
         // If the request ran, its answer would be lost: libmicrohttpd closes the connection.
         if (exchange.content.answerHeadBytes < limits.answerHeadBytes) {
@@ -163,13 +176,13 @@
 
     std::size_t answerRoomOf(MHD_Connection *connection) const
     {
-        return answerRoom(connection, limits.headerBytes, isTls() ? nullptr : positionOf(connection));
+        return answerRoom(connection, limits.headerBytes, isTls() ? nullptr : &stateOf(connection).position);
     }
 
-    static input_position *positionOf(MHD_Connection *connection)
+    static connection_state &stateOf(MHD_Connection *connection)
     {
         const auto *information = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-        return static_cast<input_position *>(information->socket_context);
+        return *static_cast<connection_state *>(information->socket_context);
     }
 
     /// With TLS, the bytes on the socket are not those of the requests.
@@ -180,18 +193,29 @@
 
     void *beginRequest(MHD_Connection *connection, const char *target)
     {
-        auto *sharedExchange = new std::shared_ptr<connection_exchange>(
-            std::make_shared<connection_exchange>(connection, needsRun, limits.keptBytes));
-        connection_exchange &exchange = **sharedExchange;
+        std::shared_ptr<connection_exchange> &sharedExchange = stateOf(connection).exchange;
+        endExchange(sharedExchange);
+        sharedExchange = std::make_shared<connection_exchange>(connection, needsRun, limits.keptBytes);
+        connection_exchange &exchange = *sharedExchange;
         exchange.content.target = target;
         const int socket = exchange.socket();
         exchange.onSent = [this, socket](std::size_t bytes) { table.addBytes(socket, bytes, now()); };
         exchange.onWaiting = [this, socket](bool isWaiting) {
             table.setPhase(socket, isWaiting ? connection_phase::processing : connection_phase::sending, now());
         };
-        openExchanges.insert(sharedExchange->get());
+        openExchanges.insert(&exchange);
         table.setPhase(socket, connection_phase::reading_head, now());
-        return sharedExchange;
+        return &sharedExchange;
+    }
+
+    void endExchange(std::shared_ptr<connection_exchange> &sharedExchange)
+    {
+        if (!sharedExchange) {
+            return;
+        }
+        sharedExchange->close();
+        openExchanges.erase(sharedExchange.get());
+        sharedExchange.reset();
     }
 
     static steady_time now()
@@ -294,14 +318,12 @@
     void handleCompleted(void **requestState, MHD_RequestTerminationCode code)
     {
         auto *sharedExchange = static_cast<std::shared_ptr<connection_exchange> *>(*requestState);
-        if (!sharedExchange) {
+        if (!sharedExchange || !*sharedExchange) {
             return;
         }
         const std::shared_ptr<connection_exchange> exchange = *sharedExchange;
         table.setPhase(exchange->socket(), connection_phase::idle, now());
-        exchange->close();
-        openExchanges.erase(exchange.get());
-        delete sharedExchange;
+        endExchange(*sharedExchange);
         *requestState = nullptr;
         if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && exchange->isPassedToHandler) {
             callGuarded([&] { handler.handleAbandoned(*exchange); }, [](const char * /*text*/) {});
@@ -349,13 +371,15 @@
         auto &owner = *static_cast<private_data *>(self);
         const int socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-            *socketContext = new input_position(socket);
+            *socketContext = new connection_state(socket);
             owner.openConnection(socket);
-        } else {
-            owner.table.close(socket);
-            delete static_cast<input_position *>(*socketContext);
-            *socketContext = nullptr;
+            return;
         }
+        owner.table.close(socket);
+        const std::unique_ptr<connection_state> state(static_cast<connection_state *>(*socketContext));
+        *socketContext = nullptr;
+        // libmicrohttpd doesn't report the end of a request whose query it can't keep.
+        owner.endExchange(state->exchange);
     }
 
     event_loop &loop;
--- a/src/libs/net/tests/answer_room_test.cpp
+++ b/src/libs/net/tests/answer_room_test.cpp
@@ -188,3 +188,21 @@
         CHECK(answer.head.starts_with("HTTP/1.1 200 "));
     }
 }
+
+// Guards against a request that is kept for good, with a connection that no longer exists, because libmicrohttpd has
+// closed it without a report: a planned stop would wait for it.
+TEST_CASE_METHOD(answer_room_fixture,
+                 "http server, query exceeds the connection's memory, keeps nothing of it",
+                 "[net]")
+{
+    std::string target = "/whole?";
+    for (int number = 0; number < 600; ++number) {
+        target += "a&";
+    }
+    {
+        raw_caller caller(m_address);
+        CHECK(call(caller, requestText(target, {})).head.empty());
+    }
+    CHECK(m_handled == 0);
+    CHECK_FALSE(m_server.isBusy());
+}
