Count bytes that a client has sent ahead anew with each request

Cause: the room for an answer's head is what is left beside the request and what the client has sent ahead. The latter was the difference between all bytes read and a sum of all requests, in which everything is missing that libmicrohttpd doesn't tell: sizes, extensions and line ends of chunks, white space in trailers, empty lines. It stayed in the difference for good, and the difference had no bound.

Change: the count starts anew where the line of a request was completed by bytes that were read after the request before: the uncounted bytes then belong to that one, except for a part of the line. What may have been read ahead is bounded by the library's buffer, half of the memory less the head, or an eighth of the memory. So the refusal depends on a bound, in which one request and one line are uncertain, not a connection. The same bound mends long heads over TLS, refused before.

"line sent ahead in part after chunks" fails (29 orders closed without an answer) if the line is taken for a part of the former request.

--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -42,6 +42,8 @@
 constexpr std::chrono::seconds stalledBodyTime{1};
 // Streams of which a client has left more unread are broken off when the memory for answers is used up.
 constexpr std::size_t unreadStreamBytes = 64UL * 1024UL;
+// Method, version and delimiters of a request line.
+constexpr std::size_t requestLineOverheadBytes = 64;
 // GnuTLS priority string: TLS 1.0 and 1.1 are deprecated (RFC 8996).
 constexpr const char *tlsPriorities = "NORMAL:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 
@@ -163,8 +165,8 @@
     {
         // Not before the body has been read: the heads of requests that never end would take memory.
         exchange.takeHead();
-        stateOf(connection).position.add(requestBytes(connection, exchange.bodyBytes));
-        exchange.content.answerHeadBytes = answerRoomOf(connection);
+        exchange.content.answerHeadBytes =
+            answerRoom(connection, limits.headerBytes, readAheadBytes(connection, exchange.bodyBytes));
         // If the request ran, its answer would be lost: libmicrohttpd closes the connection.
         if (exchange.content.answerHeadBytes < limits.answerHeadBytes) {
             ++refusedHeadCount;
@@ -174,9 +176,13 @@
         return true;
     }
 
-    std::size_t answerRoomOf(MHD_Connection *connection) const
+    /// Upper bound of what has been read beyond a request that has been read to its end; empty when it can't be told.
+    std::optional<std::size_t> readAheadBytes(MHD_Connection *connection, std::size_t bodyBytes) const
     {
-        return answerRoom(connection, limits.headerBytes, isTls() ? nullptr : &stateOf(connection).position);
+        if (isTls()) {
+            return std::nullopt;
+        }
+        return stateOf(connection).position.endRequest(leastRequestBytes(connection, bodyBytes));
     }
 
     static connection_state &stateOf(MHD_Connection *connection)
@@ -198,6 +204,7 @@
         sharedExchange = std::make_shared<connection_exchange>(connection, needsRun, limits.keptBytes);
         connection_exchange &exchange = *sharedExchange;
         exchange.content.target = target;
+        stateOf(connection).position.beginRequest(exchange.content.target.size() + requestLineOverheadBytes);
         const int socket = exchange.socket();
         exchange.onSent = [this, socket](std::size_t bytes) { table.addBytes(socket, bytes, now()); };
         exchange.onWaiting = [this, socket](bool isWaiting) {
--- a/src/libs/net/input_position.cpp
+++ b/src/libs/net/input_position.cpp
@@ -26,6 +26,34 @@
     return information.tcpi_bytes_received;
 }
 
+/// Bytes that have arrived and wait in the socket.
+std::optional<std::uint64_t> waitingBytes(int socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket, SIOCINQ, &bytes) != 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint64_t>(bytes);
+}
+
+/// Bytes that have been read from a TCP socket since it was opened.
+std::optional<std::uint64_t> readBytes(int socket)
+{
+    constexpr int maximumTries = 3;
+    for (int tries = 0; tries < maximumTries; ++tries) {
+        const std::optional<std::uint64_t> waiting = waitingBytes(socket);
+        const std::optional<std::uint64_t> received = receivedBytes(socket);
+        if (!waiting || !received || *received < *waiting) {
+            return std::nullopt;
+        }
+        // Bytes that arrive between the two calls are only in the second number.
+        if (waitingBytes(socket) == waiting) {
+            return *received - *waiting;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 input_position::input_position(int socket)
@@ -33,24 +61,29 @@
 {
 }
 
-void input_position::add(std::size_t bytes)
+// Bytes that are not counted, such as the sizes of chunks, would add up over the requests of a connection and pass for
+// more and more that the client has sent ahead. If the line of this request was completed by bytes that were read after
+// the end of the previous one, the uncounted bytes belong to the previous request, except for a part of the line.
+// Otherwise the client has sent the line ahead, and they stay where they are.
+void input_position::beginRequest(std::size_t lineBytes)
 {
-    m_bytes += bytes;
+    if (!m_readAtEnd || *m_readAtEnd <= m_position) {
+        return;
+    }
+    const std::optional<std::uint64_t> read = readBytes(m_socket);
+    if (read && *read > *m_readAtEnd && *m_readAtEnd > lineBytes) {
+        m_position = std::max(m_position, *m_readAtEnd - lineBytes);
+    }
 }
 
-std::optional<std::size_t> input_position::readAheadBytes() const
+std::optional<std::size_t> input_position::endRequest(std::size_t bytes)
 {
-    // Asked first: bytes that arrive in between are then counted as read, so that the result is never too small.
-    int unread = 0;
-    if (::ioctl(m_socket, SIOCINQ, &unread) != 0) {
-        return std::nullopt;
-    }
-    const std::optional<std::uint64_t> received = receivedBytes(m_socket);
-    const std::uint64_t accounted = m_bytes + static_cast<std::uint64_t>(unread);
-    if (!received || *received < accounted) {
+    m_position += bytes;
+    m_readAtEnd = readBytes(m_socket);
+    if (!m_readAtEnd || *m_readAtEnd < m_position) {
         return std::nullopt;
     }
-    return static_cast<std::size_t>(*received - accounted);
+    return static_cast<std::size_t>(*m_readAtEnd - m_position);
 }
 
 } // namespace crocuslane
--- a/src/libs/net/tests/answer_room_test.cpp
+++ b/src/libs/net/tests/answer_room_test.cpp
@@ -178,6 +178,37 @@
     CHECK(m_server.refusedHeadCount() > 0);
 }
 
+// Guards against the same when the request's line was sent ahead in part, after a request in chunks whose exact size
+// isn't known: that part must not count as bytes of the earlier request.
+TEST_CASE_METHOD(answer_room_fixture,
+                 "http server, line sent ahead in part after chunks, is refused or answered",
+                 "[net]")
+{
+    const std::string chunkedRequest =
+        "POST /whole HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\norder\r\n0\r\n\r\n";
+    const std::string next = "POST /whole HTTP/1.1\r\nX-Next: " + std::string(8000, 'v');
+    constexpr std::size_t sentAheadBytes = 5000;
+    int unanswered = 0;
+    int refused = 0;
+    int served = 0;
+    for (int count = 130; count <= 270; ++count) {
+        const std::string text = requestText("/whole?" + std::string(6000, 'q'), shortFields(count));
+        raw_caller caller(m_address);
+        // More bytes than the line has.
+        REQUIRE(call(caller, requestText("/whole?" + std::string(8000, 'q'), {})).isFramed);
+        REQUIRE(call(caller, chunkedRequest + text.substr(0, sentAheadBytes)).head.starts_with("HTTP/1.1 200 "));
+        const int handledBefore = m_handled;
+        const raw_answer answer = call(caller, text.substr(sentAheadBytes) + next);
+        const bool isServed = answer.head.starts_with("HTTP/1.1 200 ") && answer.isFramed;
+        unanswered += m_handled > handledBefore && !isServed ? 1 : 0;
+        refused += answer.head.starts_with("HTTP/1.1 431 ") ? 1 : 0;
+        served += isServed ? 1 : 0;
+    }
+    CHECK(unanswered == 0);
+    CHECK(refused > 0);
+    CHECK(served > 0);
+}
+
 // Guards against a refusal of requests that are followed by others on their connection, as long as there is room.
 TEST_CASE_METHOD(answer_room_fixture, "http server, many fields after earlier requests, are served", "[net]")
 {
--- a/src/libs/net/tests/https_test.cpp
+++ b/src/libs/net/tests/https_test.cpp
@@ -258,3 +258,13 @@
     const tls_files encrypted = makeIdentity("encrypted", "passphrase");
     CHECK(refusalDetail(encrypted).find("private key file " + encrypted.privateKey) == 0);
 }
+
+// Guards against a request with a long head that is refused, because its head is counted twice where it can't be told
+// how much has been read beyond it.
+TEST_CASE_METHOD(https_fixture, "https server, long head, is served", "[net]")
+{
+    listenWithTls();
+    const std::string target = "/echo?q=" + std::string(14'500, 'q');
+    CHECK(request("https://" + m_address + target, m_files.certificate, "hello") == CURLE_OK);
+    CHECK(m_body == "hello");
+}
